--- /dev/null
+++ b/src/daisyfall/process/_objects.py
@@ -0,0 +1,92 @@
+"""The platform's object store: the interface and the HTTP client.
+
+Objects are byte strings by name; a name may hold slashes. Only this module
+knows the object store's protocol.
+"""
+
+import json
+import urllib.parse
+from typing import Protocol
+
+import aiohttp
+
+from daisyfall.process import _table
+
+
+class ObjectsError(Exception):
+    """The object store could not be reached or did not answer."""
+
+    def __init__(self, effect: _table.Effect, detail: str):
+        super().__init__(f"object store {effect.value}: {detail}")
+        self.effect = effect
+
+
+class Objects(Protocol):
+    """What daisyfall needs of an object store; every call may raise `ObjectsError`."""
+
+    async def put(self, name: str, data: bytes) -> None:
+        """Store an object; repeating a put with the same data is harmless."""
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object's data, None if there is no such object."""
+
+    async def names(self, prefix: str) -> list[str]:
+        """Return the sorted names of all objects below the prefix."""
+
+    async def close(self) -> None:
+        """Release the connections."""
+
+
+class HttpObjects:
+    """Client of the object store's HTTP protocol (`/v1/objects`)."""
+
+    def __init__(self, url: str, timeout_seconds: float, client: str = ""):
+        self._url = f"{url.rstrip('/')}/v1/objects"
+        self._timeout = aiohttp.ClientTimeout(total=timeout_seconds)
+        self._headers = {_table.CLIENT_HEADER: client} if client else {}
+        self._session: aiohttp.ClientSession | None = None
+
+    async def put(self, name: str, data: bytes) -> None:
+        """See `Objects.put`."""
+        await self._call("PUT", self._object_url(name), data)
+
+    async def get(self, name: str) -> bytes | None:
+        """See `Objects.get`."""
+        status, body = await self._call("GET", self._object_url(name))
+        return None if status == 404 else body
+
+    async def names(self, prefix: str) -> list[str]:
+        """See `Objects.names`."""
+        url = f"{self._url}?{urllib.parse.urlencode({'prefix': prefix})}"
+        _, body = await self._call("GET", url)
+        try:
+            return json.loads(body)["names"]
+        except (ValueError, KeyError) as error:
+            raise ObjectsError(
+                _table.Effect.NONE, f"list is not JSON with names: {error}"
+            ) from error
+
+    async def close(self) -> None:
+        """See `Objects.close`."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _object_url(self, name: str) -> str:
+        return f"{self._url}/{urllib.parse.quote(name)}"
+
+    async def _call(self, method: str, url: str, data: bytes | None = None) -> tuple[int, bytes]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(timeout=self._timeout, headers=self._headers)
+        none = _table.Effect.NONE
+        lost = _table.Effect.UNKNOWN if method == "PUT" else none
+        try:
+            async with self._session.request(method, url, data=data) as response:
+                if response.status == 503:
+                    raise ObjectsError(none, "status 503")
+                if response.status not in (200, 404) or (method, response.status) == ("PUT", 404):
+                    raise ObjectsError(lost, f"status {response.status}")
+                return response.status, await response.read()
+        except aiohttp.ClientConnectorError as error:
+            raise ObjectsError(none, str(error)) from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise ObjectsError(lost, f"{type(error).__name__} {error}") from error
--- a/src/daisyfall/process/_table.py
+++ b/src/daisyfall/process/_table.py
@@ -22,6 +22,9 @@
 
 ABSENT = Row(0, None)
 
+# Names the calling process to the table, for its access log.
+CLIENT_HEADER = "X-Client"
+
 
 @attrs.frozen
 class Check:
@@ -78,9 +81,10 @@
 class HttpTable:
     """Client of the table's HTTP protocol (`POST /v1/read`, `POST /v1/transact`)."""
 
-    def __init__(self, url: str, timeout_seconds: float):
+    def __init__(self, url: str, timeout_seconds: float, client: str = ""):
         self._url = url.rstrip("/")
         self._timeout = aiohttp.ClientTimeout(total=timeout_seconds)
+        self._headers = {CLIENT_HEADER: client} if client else {}
         self._session: aiohttp.ClientSession | None = None
 
     async def read(self, keys: list[str], prefixes: list[str]) -> dict[str, Row]:
@@ -103,7 +107,7 @@
 
     async def _post(self, operation: str, request: dict, *, write: bool) -> dict:
         if self._session is None:
-            self._session = aiohttp.ClientSession(timeout=self._timeout)
+            self._session = aiohttp.ClientSession(timeout=self._timeout, headers=self._headers)
         lost = Effect.UNKNOWN if write else Effect.NONE
         try:
             async with self._session.post(f"{self._url}/v1/{operation}", json=request) as response:
--- /dev/null
+++ b/src/daisyfall_standins/_faults.py
@@ -0,0 +1,86 @@
+"""Fault switch of the platform stand-ins (table and object store)."""
+
+import asyncio
+import enum
+import random
+from collections.abc import Callable
+
+import attrs
+from aiohttp import web
+
+from daisyfall_standins import _server
+
+CLIENT_HEADER = "X-Client"
+_CONTROL_PATHS = ("/v1/fault", "/v1/stats", "/readyz", "/healthz")
+
+
+class Mode(enum.Enum):
+    """What happens to a request that the fault applies to."""
+
+    NONE = "none"
+    DOWN = "down"  # 503, nothing applied
+    SLOW = "slow"  # delayed before it is served
+    LOST_REPLY = "lost_reply"  # write applied, connection closed without answer; reads are served
+    DROP = "drop"  # connection closed without answer, nothing applied
+
+
+@attrs.frozen
+class Fault:
+    """The state of the switch; an empty `clients` means every client."""
+
+    mode: Mode = Mode.NONE
+    share: float = attrs.field(
+        default=1.0, validator=[attrs.validators.ge(0), attrs.validators.le(1)]
+    )
+    delay_ms: float = attrs.field(default=0.0, validator=attrs.validators.ge(0))
+    clients: list[str] = attrs.Factory(list)
+
+
+class FaultSwitch:
+    """Applies the present fault to the requests of an application.
+
+    `is_write` tells which requests lose their reply in mode `lost_reply`.
+    """
+
+    def __init__(self, is_write: Callable[[web.Request], bool], seed: int = 0):
+        self.fault = Fault()
+        self.affected = 0
+        self._is_write = is_write
+        self._random = random.Random(seed)
+
+    def application(self) -> web.Application:
+        """Return an application with the switch's middleware and its `PUT /v1/fault`."""
+        application = _server.new_application((self._intercept,))
+        application.router.add_put("/v1/fault", self._set)
+        return application
+
+    def choose(self, request: web.Request) -> Mode:
+        """Return what happens to this request."""
+        fault = self.fault
+        if fault.clients and request.headers.get(CLIENT_HEADER) not in fault.clients:
+            return Mode.NONE
+        if fault.mode is Mode.LOST_REPLY and not self._is_write(request):
+            return Mode.NONE
+        return fault.mode if self._random.random() < fault.share else Mode.NONE
+
+    async def _set(self, request: web.Request) -> web.Response:
+        self.fault = await _server.read_body(request, Fault)
+        return web.json_response({"mode": self.fault.mode.value})
+
+    @web.middleware
+    async def _intercept(self, request: web.Request, handler) -> web.StreamResponse:
+        if request.path in _CONTROL_PATHS:
+            return await handler(request)
+        mode = self.choose(request)
+        self.affected += mode is not Mode.NONE
+        match mode:
+            case Mode.DOWN:
+                return web.json_response({"error": "down"}, status=503)
+            case Mode.DROP:
+                return _server.close_connection(request)
+            case Mode.LOST_REPLY:
+                await handler(request)
+                return _server.close_connection(request)
+            case Mode.SLOW:
+                await asyncio.sleep(self.fault.delay_ms / 1000)
+        return await handler(request)
--- /dev/null
+++ b/src/daisyfall_standins/runner.py
@@ -0,0 +1,223 @@
+"""Stand-in of an upstream's runner.
+
+It runs a task by sleeping `payload["run_ms"]` and returns the payload as the
+result. It counts every start by task id: only the runner sees a task that was
+started twice. The runner protocol has no cancel request, so a task stops and
+frees its slot when the connection of its request is closed.
+"""
+
+import asyncio
+import collections
+import random
+from typing import Any
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+from daisyfall_standins import _server
+
+_ANNOUNCE_TIMEOUT_SECONDS = 2.0
+
+
+@attrs.frozen
+class Settings:
+    """One runner, and the agent that it announces itself to (empty: none)."""
+
+    id: str = "runner"
+    agent_url: str = ""
+    slots: int = 8
+    connections: int = 64
+    memory_mb: int = 65536
+    accelerators: int = 0
+    labels: list[str] = attrs.Factory(list)
+    announce_ms: float = 1000.0
+    link_delay_ms: float = 0.0
+    seed: int = 0
+
+
+@attrs.frozen
+class Switches:
+    """Faults, set at run time; `share` of the tasks is affected by all but the link delay.
+
+    `refuse` answers 503 without a start. `reset` closes the connection after the
+    start, `hang` keeps a started task until the switch is cleared.
+    """
+
+    straggler: float = attrs.field(default=1.0, validator=attrs.validators.gt(0))
+    fail_everything: bool = False
+    hang: bool = False
+    reset: bool = False
+    refuse: bool = False
+    link_delay_ms: float = attrs.field(default=0.0, validator=attrs.validators.ge(0))
+    share: float = attrs.field(
+        default=1.0, validator=[attrs.validators.ge(0), attrs.validators.le(1)]
+    )
+
+
+@attrs.frozen
+class TaskRequest:
+    """Body of `POST /v1/tasks`; fields beyond these are ignored."""
+
+    task_id: str
+    kind: str
+    payload: Any
+
+
+class Starts:
+    """Counts of the tasks that were started."""
+
+    def __init__(self):
+        self.count_by_id: collections.Counter[str] = collections.Counter()
+        self.running = 0
+        self.most_running = 0
+        self.refused = 0
+
+    def begin(self, task_id: str) -> None:
+        """Count one start."""
+        self.count_by_id[task_id] += 1
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+
+    def as_body(self, *, with_ids: bool) -> dict:
+        """Return the answer of `GET /v1/starts`."""
+        body = {
+            "total": self.count_by_id.total(),
+            "repeated": [key for key, count in self.count_by_id.items() if count > 1],
+            "running": self.running,
+            "most_running": self.most_running,
+            "refused": self.refused,
+        }
+        return body | ({"count_by_id": self.count_by_id} if with_ids else {})
+
+
+class Runner:
+    """The runner's HTTP protocol."""
+
+    stops_on_disconnect = True
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.switches = Switches(link_delay_ms=settings.link_delay_ms)
+        self.starts = Starts()
+        self._requests = 0
+        self._slots = asyncio.Semaphore(settings.slots)
+        self._switched = asyncio.Event()
+        self._random = random.Random(settings.seed)
+
+    def application(self) -> web.Application:
+        """See `_server.StandIn.application`."""
+        application = _server.new_application()
+        application.router.add_post("/v1/tasks", self._run)
+        application.router.add_get("/v1/starts", self._show_starts)
+        application.router.add_put("/v1/fault", self._switch)
+        return application
+
+    async def announce(self, url: str) -> None:
+        """Announce the runner under `url` to its agent until cancelled."""
+        settings = self.settings
+        body = {
+            "id": settings.id,
+            "url": url,
+            "slots": settings.slots,
+            "connections": settings.connections,
+            "memory_mb": settings.memory_mb,
+            "accelerators": settings.accelerators,
+            "labels": settings.labels,
+        }
+        timeout = aiohttp.ClientTimeout(total=_ANNOUNCE_TIMEOUT_SECONDS)
+        target = f"{settings.agent_url.rstrip('/')}/v1/announce"
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                try:
+                    async with session.post(target, json=body) as response:
+                        await response.read()
+                except (aiohttp.ClientError, TimeoutError):
+                    pass  # The agent is down; the next announcement tries again.
+                await asyncio.sleep(settings.announce_ms / 1000)
+
+    async def _show_starts(self, request: web.Request) -> web.Response:
+        return web.json_response(self.starts.as_body(with_ids="ids" in request.query))
+
+    async def _switch(self, request: web.Request) -> web.Response:
+        self.switches = await _server.read_body(request, Switches)
+        self._switched.set()
+        self._switched = asyncio.Event()
+        return web.json_response(attrs.asdict(self.switches))
+
+    async def _run(self, request: web.Request) -> web.Response:
+        task = _parse_task(await request.json())
+        await self._cross_link()
+        # A caller has one request at a time on a connection, so requests count connections.
+        refused = self._requests >= self.settings.connections
+        affected = self._random.random() < self.switches.share
+        if refused or (affected and self.switches.refuse):
+            self.starts.refused += 1
+            response = web.json_response({"started": False}, status=503)
+        else:
+            response = await self._run_in_slot(request, task, affected=affected)
+        await self._cross_link()
+        return response
+
+    async def _run_in_slot(self, request, task: TaskRequest, *, affected: bool) -> web.Response:
+        self._requests += 1
+        try:
+            async with self._slots:
+                self.starts.begin(task.task_id)
+                try:
+                    return await self._execute(request, task, affected=affected)
+                finally:
+                    self.starts.running -= 1
+        finally:
+            self._requests -= 1
+
+    async def _execute(self, request, task: TaskRequest, *, affected: bool) -> web.Response:
+        switches = self.switches if affected else Switches()
+        if switches.reset:
+            return _server.close_connection(request)
+        if switches.hang:
+            await self._switched.wait()
+        if switches.fail_everything:
+            return web.json_response({"error": "the runner fails every task"}, status=422)
+        if not isinstance(task.payload, dict) or "run_ms" not in task.payload:
+            error = f"payload has no run_ms: {task.payload!r}"
+            return web.json_response({"error": error}, status=422)
+        run_seconds = task.payload["run_ms"] / 1000 * switches.straggler
+        if run_seconds > 0:
+            await asyncio.sleep(run_seconds)
+        return web.json_response({"result": task.payload})
+
+    async def _cross_link(self) -> None:
+        if self.switches.link_delay_ms > 0:
+            await asyncio.sleep(self.switches.link_delay_ms / 1000)
+
+
+class RunnerServer(_server.Server):
+    """A runner on its listening address, with its announcements."""
+
+    _announcing: asyncio.Task | None = None
+
+    async def start(self) -> "RunnerServer":
+        """Listen and announce."""
+        await super().start()
+        if self.stand_in.settings.agent_url:
+            self._announcing = asyncio.create_task(self.stand_in.announce(self.url))
+        return self
+
+    async def stop(self) -> None:
+        """Stop announcing and close all connections."""
+        if self._announcing is not None:
+            self._announcing.cancel()
+        await super().stop()
+
+
+def _parse_task(body: Any) -> TaskRequest:
+    try:
+        return TaskRequest(str(body["task_id"]), str(body["kind"]), body.get("payload"))
+    except (KeyError, TypeError, AttributeError) as error:
+        raise web.HTTPBadRequest(text=f"body is not a task: {error!r}") from error
+
+
+async def start(settings: Settings, host: str = "127.0.0.1", port: int = 0) -> RunnerServer:
+    """Start a runner in the running event loop; several may run in one process."""
+    return await RunnerServer(Runner(settings), host, port).start()
