--- /dev/null
+++ b/src/daisyfall/_command_line.py
@@ -0,0 +1,128 @@
+"""Parsing of command lines with fire: one helpful line for a mistake, nothing run before it.
+
+The commands given to `parse` return a `Command`, which is run only after fire has
+accepted the whole line. Fire alone would run the command first and complain
+about surplus arguments afterwards.
+"""
+
+import contextlib
+import difflib
+import inspect
+import io
+import re
+import sys
+from collections.abc import Callable
+
+import fire
+import fire.core
+
+USAGE_ERROR = 2
+_HELP = ("-h", "--help", "help")
+
+
+class UsageError(Exception):
+    """The command line is wrong; the text is one line."""
+
+
+class Command:
+    """A command with its arguments, not run yet."""
+
+    __slots__ = ("_call",)
+
+    def __init__(self, call: Callable[[], int]):
+        self._call = call
+
+    def _execute(self) -> int:
+        return self._call()
+
+
+def execute(program: str, commands: dict, arguments: list[str]) -> int:
+    """Parse and run a command line; return the exit status."""
+    if not arguments or arguments[-1] in _HELP:
+        print(_help(program, commands, arguments[:-1]))
+        return 0 if arguments else USAGE_ERROR
+    try:
+        command = parse(commands, arguments)
+    except UsageError as error:
+        print(f"{program}: {error}; see {program} --help", file=sys.stderr)
+        return USAGE_ERROR
+    return command._execute()
+
+
+def parse(commands: dict, arguments: list[str]) -> Command:
+    """Return the command that the arguments name; raise `UsageError` if they are wrong."""
+    _check_words(commands, arguments)
+    # Fire's own flags behind "--" start a debugger or print traces.
+    if "--" in arguments:
+        raise UsageError("a lone -- is not accepted")
+    output = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(output), contextlib.redirect_stdout(output):
+            result = fire.Fire(commands, command=arguments, serialize=lambda _: "")
+    except fire.core.FireExit as error:
+        raise UsageError(_reason(output.getvalue(), commands, arguments)) from error
+    if not isinstance(result, Command):
+        raise UsageError(f"{' '.join(arguments)!r} is not a complete command")
+    return result
+
+
+def _check_words(commands: dict, arguments: list[str]) -> None:
+    """Name the nearest command when one is mistyped or missing."""
+    known, path = commands, []
+    for word in arguments:
+        if word not in known:
+            near = difflib.get_close_matches(word, known, n=1)
+            hint = f"did you mean {near[0]!r}?" if near else f"expected one of {', '.join(known)}"
+            raise UsageError(f"unknown command {' '.join([*path, word])!r}, {hint}")
+        path.append(word)
+        if callable(known[word]):
+            return
+        known = known[word]
+    raise UsageError(f"{' '.join(path)!r} needs one of {', '.join(known)}")
+
+
+def _reason(output: str, commands: dict, arguments: list[str]) -> str:
+    found = re.search(r"ERROR: (.*)", output)
+    reason = found.group(1).strip() if found else f"can't read {' '.join(arguments)!r}"
+    call = _called(commands, arguments)
+    options = [f"--{name}" for name in inspect.signature(call).parameters]
+    for word in arguments:
+        option = word.partition("=")[0].replace("_", "-")
+        if word.startswith("--") and option.replace("-", "_")[2:] not in [x[2:] for x in options]:
+            near = difflib.get_close_matches(option, options, n=1)
+            hint = f"did you mean {near[0]!r}?" if near else "it is not known here"
+            return f"unknown option {option!r}, {hint}"
+    return reason
+
+
+def _called(commands: dict, arguments: list[str]) -> Callable:
+    for word in arguments:
+        commands = commands[word]
+        if callable(commands):
+            return commands
+    raise UsageError(f"{' '.join(arguments)!r} is not a complete command")
+
+
+def _help(program: str, commands: dict, words: list[str]) -> str:
+    lines = [f"usage of {program}:"]
+    for path, call in _walk(commands, []):
+        if path[: len(words)] == words or not words:
+            parameters = map(_describe, inspect.signature(call).parameters.values())
+            lines.append(f"  {program} {' '.join([*path, *parameters])}")
+            lines += [f"      {line}" for line in inspect.getdoc(call).splitlines()]
+    return "\n".join(lines)
+
+
+def _describe(parameter: inspect.Parameter) -> str:
+    if parameter.default is inspect.Parameter.empty:
+        return parameter.name.upper()
+    option = f"--{parameter.name.replace('_', '-')}"
+    return f"[{option}]" if isinstance(parameter.default, bool) else f"[{option} VALUE]"
+
+
+def _walk(commands: dict, path: list[str]):
+    for word, inner in commands.items():
+        if callable(inner):
+            yield [*path, word], inner
+        else:
+            yield from _walk(inner, [*path, word])
--- /dev/null
+++ b/src/daisyfall/daemon.py
@@ -0,0 +1,95 @@
+"""`daisyfalld`: runs one process of the system, as entry or as agent."""
+
+import asyncio
+import sys
+
+import fire.decorators
+import uvloop
+
+from daisyfall import _command_line
+from daisyfall.process import _log, _settings, _settings_load
+
+PROGRAM = "daisyfalld"
+
+
+@fire.decorators.SetParseFns(file=str)
+def run(file, *, set=()):
+    """Run the process that FILE describes until it is told to stop.
+
+    --set KEY.PATH=VALUE overrides one setting and may be given several times.
+    """
+    return _command_line.Command(lambda: _run(file, set))
+
+
+@fire.decorators.SetParseFns(file=str)
+def check(file, *, set=()):
+    """Check the settings in FILE and name every problem; run nothing."""
+    return _command_line.Command(lambda: _check(file, set))
+
+
+def main() -> None:
+    """Run the command line of this process and exit with its status."""
+    arguments = _gather_overrides(sys.argv[1:])
+    sys.exit(_command_line.execute(PROGRAM, {"run": run, "check": check}, arguments))
+
+
+def _gather_overrides(arguments: list[str]) -> list[str]:
+    """Join all `--set` options into one, because fire keeps only the last of them."""
+    rest, values = [], []
+    words = iter(arguments)
+    for word in words:
+        if word == "--set":
+            values.append(next(words, ""))
+        elif word.startswith("--set="):
+            values.append(word.removeprefix("--set="))
+        else:
+            rest.append(word)
+    return [*rest, f"--set={values!r}"] if values else rest
+
+
+def _load(file: str, overrides) -> _settings.Settings | None:
+    try:
+        return _settings_load.load(file, list(overrides))
+    except _settings_load.SettingsError as error:
+        print(error, file=sys.stderr)
+        return None
+
+
+def _check(file: str, overrides) -> int:
+    settings = _load(file, overrides)
+    if settings is None:
+        return _command_line.USAGE_ERROR
+    print(f"{file}: settings of {settings.role} {settings.id} are valid")
+    return 0
+
+
+def _run(file: str, overrides) -> int:
+    settings = _load(file, overrides)
+    if settings is None:
+        return _command_line.USAGE_ERROR
+    _log.configure(settings)
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_serve(settings))
+    except KeyboardInterrupt:
+        return 1
+    except Exception as error:
+        _log.failed(error)
+        return 1
+    return 0
+
+
+async def _serve(settings: _settings.Settings) -> None:
+    match settings.role:
+        case "entry":
+            from daisyfall.process import _entry
+
+            await _entry.run(settings)
+        case "agent":
+            from daisyfall.process import _agent
+
+            await _agent.run(settings)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/daisyfall/version/_lists.py
+++ b/src/daisyfall/version/_lists.py
@@ -1,31 +1,49 @@
 """The two lists: the buyers' plans, and what each plan may use."""
 
+import hashlib
+import hmac
+from typing import Annotated
+
 import attrs
 
+from daisyfall._checked import Pattern, Range
+
+# Half of the retention time of 600 s: a longer job could outlive the memory of its starts.
+LONGEST_DEADLINE_MS = 300_000
+LARGEST_JOB_TASKS = 1_900
+
+Name = Annotated[str, Pattern(r"[A-Za-z0-9][A-Za-z0-9_-]{0,63}", "1 to 64 of A-Za-z0-9_-")]
+Label = Annotated[str, Pattern(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}", "1 to 64 of A-Za-z0-9._-")]
+Salt = Annotated[str, Pattern(r"[^$\s]{8,64}", "8 to 64 characters without blanks and $")]
+Digest = Annotated[str, Pattern(r"[0-9a-f]{64}", "64 lower-case hexadecimal digits")]
+
+_NO_HASH = "0" * 64
+_NO_SALT = "no-such-buyer"
+
 
 @attrs.frozen
 class Buyer:
     """One buyer: the plan, and the salted hash of the bearer token's secret."""
 
     name: str
-    plan: str
-    salt: str
-    token_hash: str  # hex SHA-256 of salt + secret
+    plan: Name
+    salt: Salt
+    token_hash: Digest  # hex SHA-256 of salt + secret
 
 
 @attrs.frozen
 class Allowance:
     """What one plan may use; all counts hold over all entries together for each buyer."""
 
-    starts_per_second: float
-    tasks_in_flight: int
-    slots: int
-    accelerators: int
-    largest_job_tasks: int
-    longest_deadline_ms: int
-    priority: int = 1  # weight in the fair queue, 1 to 10
-    data_centres: list[str] = attrs.Factory(list)  # empty: all
-    upstream_labels: list[str] = attrs.Factory(list)  # all must be present
+    starts_per_second: Annotated[float, Range(0.001, 10_000_000)]
+    tasks_in_flight: Annotated[int, Range(1, 10_000_000)]
+    slots: Annotated[int, Range(1, 10_000_000)]
+    accelerators: Annotated[int, Range(0, 1_000_000)]
+    largest_job_tasks: Annotated[int, Range(1, LARGEST_JOB_TASKS)]
+    longest_deadline_ms: Annotated[int, Range(1, LONGEST_DEADLINE_MS)]
+    priority: Annotated[int, Range(1, 10)] = 1  # weight in the fair queue
+    data_centres: list[Label] = attrs.Factory(list)  # empty: all
+    upstream_labels: list[Label] = attrs.Factory(list)  # all must be present
 
 
 @attrs.frozen
@@ -36,8 +54,45 @@
     digest: str
     buyer_by_name: dict[str, Buyer]
     allowance_by_plan: dict[str, Allowance]
+    # Tokens that were verified against this version; it holds at most one for each buyer.
+    _buyer_by_token: dict[str, Buyer] = attrs.field(
+        factory=dict, init=False, repr=False, eq=False, hash=False
+    )
 
     def allowance(self, buyer: str) -> Allowance | None:
         """Return what the buyer may use, None for an unknown buyer."""
         found = self.buyer_by_name.get(buyer)
         return self.allowance_by_plan[found.plan] if found else None
+
+
+def hash_token(secret: str, salt: str) -> str:
+    """Return the hex SHA-256 of salt + secret, as it stands in the plans."""
+    return hashlib.sha256((salt + secret).encode()).hexdigest()
+
+
+def verify_token(lists: Lists, bearer: str) -> Buyer | None:
+    """Return the buyer whose token `<buyer>.<secret>` this is, else None.
+
+    An unknown buyer costs the same hash and comparison as a known one, so that the
+    time doesn't tell which buyers exist. Only tokens that were verified are cached.
+    """
+    cached = lists._buyer_by_token.get(bearer)
+    if cached is not None:
+        return cached
+    name, _, secret = bearer.partition(".")
+    buyer = lists.buyer_by_name.get(name)
+    salt, expected = (buyer.salt, buyer.token_hash) if buyer else (_NO_SALT, _NO_HASH)
+    matches = hmac.compare_digest(hash_token(secret, salt), expected)
+    if buyer is None or not secret or not matches:
+        return None
+    lists._buyer_by_token[bearer] = buyer
+    return buyer
+
+
+def verify_operator(token_hashes: list[str], bearer: str) -> bool:
+    """Tell whether the bearer text matches one of the `salt$hash` texts, in constant time."""
+    matches = []
+    for each in token_hashes:
+        salt, _, expected = each.partition("$")
+        matches.append(hmac.compare_digest(hash_token(bearer, salt), expected))
+    return bool(bearer) and any(matches)
