--- a/src/daisyfall/_wire.py
+++ b/src/daisyfall/_wire.py
@@ -241,6 +241,7 @@
     owner_id: str
     owner_incarnation: str
     duration_ms: int
+    peer_incarnation: str  # a promise of another incarnation would not be known to a taker
 
 
 @_message(33)
@@ -250,6 +251,7 @@
     request: int
     owner_id: str
     owner_incarnation: str
+    peer_incarnation: str
 
 
 @_message(34)
--- a/src/daisyfall/errors.py
+++ b/src/daisyfall/errors.py
@@ -162,3 +162,9 @@
         if self.field:
             body |= {"field": self.field, "value": self.value, "expected": self.expected}
         return body
+
+
+def wrong_field(field: str, value: object, expected: str) -> DispatchError:
+    """Return the refusal of one field, showing what was found and what was expected."""
+    detail = f"{field} is {value}, expected {expected}"
+    return DispatchError(Kind.INVALID_FIELD, detail, field=field, value=value, expected=expected)
--- /dev/null
+++ b/src/daisyfall/process/_entry.py
@@ -0,0 +1,434 @@
+"""Composition root of an entry."""
+
+import asyncio
+import random
+import signal
+
+import websockets
+from aiohttp import web
+from loguru import logger
+
+from daisyfall import _clock, _ids, _wire, errors
+from daisyfall.connection import (
+    _agent_session,
+    _fencer,
+    _handshake,
+    _peer_link,
+    _peer_session,
+)
+from daisyfall.process import (
+    _health_api,
+    _metrics,
+    _objects,
+    _ownership,
+    _registry,
+    _settings,
+    _table,
+)
+from daisyfall.request import (
+    _api,
+    _carrier,
+    _delivery,
+    _dispatcher,
+    _operator_api,
+    _owner,
+    _submission,
+)
+from daisyfall.version import _lists, _publisher
+
+PEER_CALL_SECONDS = 0.5
+STOP_LIMIT_SECONDS = 60.0
+HANDOVER_POLL_SECONDS = 0.05
+
+
+class Entry(_registry.RegistryEvents):
+    """One entry process: the parts and how they are wired."""
+
+    def __init__(self, settings: _settings.Settings):
+        self.settings = settings
+        self.incarnation = _ids.new_incarnation()
+        self.metrics = _metrics.Metrics()
+        table = settings.table
+        self.table = _table.HttpTable(table.url, table.timeout_ms / 1000, settings.id)
+        self.objects = _objects.HttpObjects(
+            table.objects_url, table.objects_timeout_ms / 1000, settings.id
+        )
+        identity = _registry.Identity(
+            settings.id,
+            self.incarnation,
+            settings.peer.advertised,
+            settings.http.advertised,
+            settings.data_centre,
+        )
+        self.registry = _registry.Registry(identity, self.table, settings, self)
+        self.dispatcher = _dispatcher.Dispatcher(
+            settings.routing, settings.jobs, settings.data_centre, random.Random()
+        )
+        self.delivery = _delivery.Delivery(settings, self.registry, self.dispatcher, self.metrics)
+        self.owner = _owner.Owner(
+            settings, self.registry, self.dispatcher, self.delivery, self.metrics
+        )
+        self.fencer = _fencer.Fencer(self.delivery, settings)
+        self.publisher = _publisher.Publisher(self.table, self.objects, self._use_lists)
+        self.link_by_id: dict[str, _peer_link.PeerLink] = {}
+        self._link_task_by_id: dict[str, asyncio.Task] = {}
+        self.peer_versions: dict[str, int] = {}
+        self.carrier = _carrier.Carrier(
+            settings, self.registry, self.owner, self.link_by_id, self.metrics
+        )
+        self.api = _api.Api(settings, self.publisher, self.carrier, self.metrics)
+        self.operator_api = _operator_api.OperatorApi(
+            settings,
+            table=self.table,
+            registry=self.registry,
+            publisher=self.publisher,
+            delivery=self.delivery,
+            metrics=self.metrics,
+            peer_versions=self.peer_versions,
+        )
+        self.delivery.wish_of = self.operator_api.wish_of
+        self.registry.calls = _registry.PeerCalls(self._promise, self._query, self.fencer.fence)
+        self._tasks: set[asyncio.Task] = set()
+        self._listing: set[str] = set()
+
+    # Events of the registry.
+
+    def on_snapshot(self, rows: dict[str, _table.Row]) -> None:
+        """Follow lists, wishes and the roster."""
+        self._spawn(self._follow_lists(rows.get(_publisher.HEAD_KEY)))
+        prefix = _ownership.WISH_PREFIX
+        wishes = {
+            key.removeprefix(prefix): row.value["wish"]
+            for key, row in rows.items()
+            if key.startswith(prefix)
+        }
+        if wishes != self.operator_api.wish_by_id:
+            self.operator_api.wish_by_id = wishes
+            for session in self.delivery.session_by_id.values():
+                session.send(self._roster(session))
+                self.delivery.update_upstream(session)
+            self.delivery.pump_soon()
+        self._follow_peers()
+
+    def on_lost(self, shards: list[int]) -> None:
+        """Give up the jobs of lost shards."""
+        self.owner.give_up(set(shards))
+
+    def on_active(self, shard: int) -> None:
+        """Use a shard."""
+        self.delivery.pump_soon()
+
+    async def _follow_lists(self, head: _table.Row | None) -> None:
+        try:
+            await self.publisher.follow(head)
+        except _table.TableError:
+            return  # the next poll tries again
+
+    def _use_lists(self, lists: _lists.Lists) -> None:
+        self.dispatcher.use_lists(lists)
+        self.delivery.allowed_slots = lambda buyer: (
+            allowance.slots if (allowance := lists.allowance(buyer)) else 1
+        )
+        self.metrics.list_version(lists.version)
+        for session in self.delivery.session_by_id.values():
+            session.send(self._roster(session))
+        self.delivery.pump_soon()
+
+    # Peers.
+
+    def _follow_peers(self) -> None:
+        me = self.settings.id
+        wanted = {e.id: e.address for e in self.registry.view.entry_by_id.values() if e.id != me}
+        for peer_id in [p for p in self.link_by_id if p not in wanted]:
+            self._link_task_by_id.pop(peer_id).cancel()
+            del self.link_by_id[peer_id]
+            self.peer_versions.pop(peer_id, None)
+        for peer_id, address in wanted.items():
+            link = self.link_by_id.get(peer_id)
+            if link is not None and link.address == address:
+                continue
+            if link is not None:
+                self._link_task_by_id.pop(peer_id).cancel()
+            self._dial(peer_id, address)
+
+    def _dial(self, peer_id: str, address: str) -> None:
+        hello = _wire.Hello(
+            _wire.ROLE_ENTRY,
+            self.settings.id,
+            self.incarnation,
+            _wire.MAX_VERSION,
+            b"",
+            self.settings.data_centre,
+            self.settings.peer.advertised,
+        )
+        key = self.settings.keys[0]
+        link = _peer_link.PeerLink(peer_id, address, key, hello, self._take_pong)
+        lease = self.settings.lease
+        self.link_by_id[peer_id] = link
+        self._link_task_by_id[peer_id] = asyncio.create_task(
+            link.run(
+                lambda number: _wire.Ping(number, self.publisher.version),
+                lease.heartbeat_ms / 1000,
+                lease.heartbeat_limit_ms / 1000,
+            )
+        )
+
+    def _take_pong(self, peer_id: str, reply: _wire.Reply) -> None:
+        if not isinstance(reply.body, int):
+            return
+        self.peer_versions[peer_id] = reply.body
+        if reply.body > self.publisher.version:
+            self._spawn(self._fetch_lists(peer_id))
+
+    async def _fetch_lists(self, peer_id: str) -> None:
+        """Take a newer version from a peer; an entry cut off from the table needs this."""
+        link = self.link_by_id.get(peer_id)
+        if link is None:
+            return
+        try:
+            found = await link.call(
+                lambda number: _wire.Lookup(number, "lists", "", ""), PEER_CALL_SECONDS
+            )
+        except (_peer_link.LinkLostError, _peer_link.NotConnectedError):
+            return
+        if found:
+            self.publisher.adopt(found["head"], found["document"])
+
+    async def _promise(
+        self, peer: _ownership.Holder, holder: _ownership.Holder, seconds: float
+    ) -> bool:
+        link = self.link_by_id.get(peer[0])
+        if link is None:
+            return False
+        try:
+            return await link.call(
+                lambda number: _wire.PromiseRequest(
+                    number, holder[0], holder[1], int(seconds * 1000), peer[1]
+                ),
+                PEER_CALL_SECONDS,
+            )
+        except (_peer_link.LinkLostError, _peer_link.NotConnectedError, errors.DispatchError):
+            return False
+
+    async def _query(self, peer: _ownership.Holder, holder: _ownership.Holder) -> float | None:
+        link = self.link_by_id.get(peer[0])
+        if link is None:
+            return None
+        try:
+            return await link.call(
+                lambda number: _wire.PromiseQuery(number, holder[0], holder[1], peer[1]),
+                PEER_CALL_SECONDS,
+            )
+        except (_peer_link.LinkLostError, _peer_link.NotConnectedError, errors.DispatchError):
+            return None
+
+    async def handle_peer(self, request):
+        """Answer one request of another entry."""
+        now = _clock.monotonic()
+        match request:
+            case _wire.Ping():
+                return self.publisher.version
+            case _wire.Submit():
+                submission = _submission.from_wire(
+                    request.buyer, request.job_id, request.deadline_left_ms, request.tasks
+                )
+                return await self.carrier.settle_here(submission, request.wait)
+            case _wire.Lookup(operation="lists"):
+                return self.publisher.as_document()
+            case _wire.Lookup():
+                return await self.carrier.lookup_here(
+                    request.operation, request.buyer, request.job_id, request.wait_ms
+                )
+            case _wire.PromiseRequest():
+                self._check_incarnation(request.peer_incarnation)
+                holder = (request.owner_id, request.owner_incarnation)
+                return self.registry.promises.grant(holder, request.duration_ms / 1000, now)
+            case _wire.PromiseQuery():
+                self._check_incarnation(request.peer_incarnation)
+                holder = (request.owner_id, request.owner_incarnation)
+                return self.registry.promises.query(holder, now)
+        raise errors.DispatchError(errors.Kind.PROTOCOL, type(request).__name__)
+
+    def _check_incarnation(self, expected: str) -> None:
+        found = self.registry.holder[1]
+        if found != expected:
+            raise errors.DispatchError(
+                errors.Kind.PROTOCOL, f"this is incarnation {found}, not {expected}"
+            )
+
+    # Accepted connections.
+
+    async def serve_socket(self, socket) -> None:
+        """Serve one agent or entry that has connected."""
+        try:
+            hello = await _handshake.accept(
+                socket, self.settings.keys, self.settings.id, self.incarnation
+            )
+        except (_handshake.HandshakeError, websockets.ConnectionClosed) as error:
+            self.metrics.refused(errors.Kind.PROTOCOL)
+            logger.bind(reason=str(error)).warning("connection refused")
+            return
+        if hello.role == _wire.ROLE_ENTRY:
+            await _peer_session.serve(socket, self.handle_peer)
+            return
+        session = _agent_session.AgentSession(hello, socket)
+        if not session.listed:
+            self._spawn(self._list_agent(session))
+        lease = self.settings.lease
+        session.send(self._roster(session))
+        await session.run(
+            self.delivery,
+            self._roster,
+            lease.heartbeat_ms / 1000,
+            lease.heartbeat_limit_ms / 1000,
+        )
+
+    async def _list_agent(self, session: _agent_session.AgentSession) -> None:
+        while not session.closed and not session.listed:
+            try:
+                await self.registry.list_agent(session.agent_id, session.incarnation)
+                session.send(_wire.Listed(session.incarnation))
+                return
+            except (_table.TableError, _table.ConflictError):
+                await asyncio.sleep(self.settings.lease.poll_ms / 1000)
+
+    def _roster(self, session: _agent_session.AgentSession) -> _wire.Roster:
+        entries = [
+            [entry.id, entry.address]
+            for entry in self.registry.view.entry_by_id.values()
+            if entry.state != _ownership.FENCED
+        ]
+        wish = self.operator_api.wish_of(session.agent_id)
+        return _wire.Roster(entries, self.publisher.version, wish)
+
+    # Life cycle.
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then stop gracefully."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        runner = await self._serve_http()
+        peer = self.settings.peer
+        server = await websockets.serve(
+            self.serve_socket,
+            peer.host,
+            peer.port,
+            compression=None,
+            ping_interval=None,
+            max_size=_wire.MAX_MESSAGE_BYTES,
+        )
+        registry = [
+            asyncio.create_task(self.registry.run()),
+            asyncio.create_task(self.registry.extend_in_outage()),
+        ]
+        others = [
+            asyncio.create_task(self.owner.expire()),
+            asyncio.create_task(self._watch_absent()),
+        ]
+        logger.bind(http=self.settings.http.advertised, peer=peer.advertised).info("entry started")
+        await stop.wait()
+        await self._stop()
+        for task in [*registry, *others, *self._link_task_by_id.values()]:
+            task.cancel()
+        await self.registry.leave()
+        server.close()
+        await runner.cleanup()
+        await self.table.close()
+        await self.objects.close()
+        logger.info("entry stopped")
+
+    async def _serve_http(self) -> web.AppRunner:
+        limits = self.settings.limits
+        app = web.Application(client_max_size=limits.body_limit_kb * 1024)
+        app.add_routes(_health_api.routes(self.metrics, self.unready, self.status))
+        app.add_routes(self.operator_api.routes())
+        app.add_routes(self.api.routes())
+        header_bytes = limits.header_limit_kb * 1024
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            max_line_size=header_bytes,
+            max_field_size=header_bytes,
+        )
+        await runner.setup()
+        http = self.settings.http
+        await web.TCPSite(runner, http.host, http.port, backlog=1024).start()
+        return runner
+
+    async def _watch_absent(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.lease.heartbeat_ms / 1000 / 4)
+            self.delivery.give_up_absent(_clock.monotonic())
+
+    async def _stop(self) -> None:
+        """Hand over the shards and answer every open request (rule 9)."""
+        logger.info("entry stopping")
+        self.api.stopping = True
+        deadline = _clock.monotonic() + STOP_LIMIT_SECONDS
+        if self.registry.table_reachable:
+            try:
+                await self.registry.stop_owning()
+                self._ping_peers()
+            except _table.TableError as error:
+                logger.bind(reason=str(error)).warning("shards could not be released")
+        while _clock.monotonic() < deadline:
+            if not self.api.open_requests and not self.owner.jobs.job_by_key:
+                return
+            await asyncio.sleep(HANDOVER_POLL_SECONDS)
+        logger.bind(open=self.api.open_requests).warning("stop limit reached with open requests")
+
+    def _ping_peers(self) -> None:
+        for link in self.link_by_id.values():
+            self._spawn(self._ping(link))
+
+    async def _ping(self, link: _peer_link.PeerLink) -> None:
+        try:
+            await link.call(
+                lambda number: _wire.Ping(number, self.publisher.version), PEER_CALL_SECONDS
+            )
+        except (_peer_link.LinkLostError, _peer_link.NotConnectedError):
+            return
+
+    def unready(self) -> str:
+        """Return why the entry should get no requests, empty if it is ready."""
+        if self.api.stopping:
+            return "stopping"
+        if self.publisher.lists is None:
+            return "no lists are known"
+        if not self.registry.lease.valid(_clock.monotonic()):
+            return "no valid lease"
+        return ""
+
+    def status(self) -> dict:
+        """Return the state for `/status`."""
+        now = _clock.monotonic()
+        return {
+            "id": self.settings.id,
+            "role": "entry",
+            "incarnation": self.registry.holder[1],
+            "ready": not self.unready(),
+            "table_reachable": self.registry.table_reachable,
+            "lease_remaining_s": round(self.registry.lease.remaining(now), 3),
+            "lists_version": self.publisher.version,
+            "shards": sorted(
+                s for s, each in self.registry.holding_by_shard.items() if each.active
+            ),
+            "agents": sorted(self.delivery.session_by_id),
+            "peers": sorted(p for p, link in self.link_by_id.items() if link.connected),
+            "jobs": len(self.owner.jobs.job_by_key),
+            "records": len(self.owner.jobs.record_by_key),
+            "open_requests": self.api.open_requests,
+            "dispatcher": self.dispatcher.snapshot(),
+        }
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def run(settings: _settings.Settings) -> None:
+    """Run an entry until it is told to stop."""
+    await Entry(settings).run()
--- /dev/null
+++ b/src/daisyfall/process/_registry.py
@@ -0,0 +1,506 @@
+"""Keeps this entry's row and its shards in the table, and its lease alive.
+
+One loop renews and polls, a second one asks the peers for promises while
+renewals do not come through. Ownership follows the rows: a shard row that names
+this incarnation is activated even when the reply to the write was lost.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+
+import attrs
+from loguru import logger
+
+from daisyfall import _clock, _ids
+from daisyfall.process import _ownership, _settings, _table
+
+# Share of the lease that may pass without a renewal before peers are asked.
+PROMISE_SHARE = 0.5
+PROMISE_INTERVAL_SECONDS = 0.2
+Holder = _ownership.Holder
+SNAPSHOT_KEYS = ["lists/head"]
+SNAPSHOT_PREFIXES = [
+    _ownership.ENTRY_PREFIX,
+    _ownership.SHARD_PREFIX,
+    _ownership.WISH_PREFIX,
+]
+
+
+@attrs.frozen
+class Identity:
+    """Who this process is."""
+
+    id: str
+    incarnation: str
+    address: str
+    http_address: str
+    data_centre: str
+
+
+class RegistryEvents:
+    """What the registry tells the rest of the entry; the entry overrides these."""
+
+    def on_snapshot(self, rows: dict[str, _table.Row]) -> None:
+        """Take in a snapshot that was read."""
+
+    def on_lost(self, shards: list[int]) -> None:
+        """Give up shards that are no longer held."""
+
+    def on_active(self, shard: int) -> None:
+        """Use a shard that has become active."""
+
+
+@attrs.frozen
+class PeerCalls:
+    """The calls to other entries and to agents that takeover and outages need.
+
+    `promise(peer, holder, seconds)` asks for a promise; `query(peer, holder)`
+    returns the seconds that a promise still lasts, None if that incarnation of
+    the peer can't be asked; `fence(epochs, listed)` fences shards at the agents
+    and returns the listed agents that did not answer, by shard.
+    """
+
+    promise: Callable[[Holder, Holder, float], Awaitable[bool]]
+    query: Callable[[Holder, Holder], Awaitable[float | None]]
+    fence: Callable[[dict[int, int], set[Holder]], Awaitable[dict[int, set[Holder]]]]
+
+
+class Registry:
+    """Membership and ownership of one entry process."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        table: _table.Table,
+        settings: _settings.Settings,
+        events: RegistryEvents,
+    ):
+        lease = settings.lease
+        self._identity = identity
+        self._table = table
+        self._settings = settings
+        self._events = events
+        self.calls: PeerCalls | None = None
+        seconds, margin = lease.lease_ms / 1000, lease.margin_ms / 1000
+        self.lease = _ownership.Lease(seconds, margin)
+        self.view = _ownership.View(seconds, margin)
+        self.promises = _ownership.Promises(seconds, margin)
+        self.holding_by_shard: dict[int, _ownership.Holding] = {}
+        self.table_reachable = False
+        self._extension = _ownership.PromisedExtension(self.lease)
+        self._record = _ownership.EntryRecord(
+            identity.id,
+            identity.incarnation,
+            0,
+            identity.address,
+            identity.http_address,
+            identity.data_centre,
+            _ownership.ACTIVE,
+        )
+        self._row_version = 0
+        self._registered = False
+        # Peers named in any renewal that may have reached the table.
+        self._promise_peers: set[Holder] = set()
+        self._renewal_sent_at = float("-inf")
+        self._poke = asyncio.Event()
+        self._activations: set[asyncio.Task] = set()
+
+    # What the hot path asks.
+
+    def usable(self, shard: int, now: float) -> _ownership.Holding | None:
+        """Return the holding if tasks of the shard may be admitted and started now (rule 1)."""
+        holding = self.holding_by_shard.get(shard)
+        if holding is None or not holding.active or holding.suspended:
+            return None
+        return holding if self.lease.valid(now) else None
+
+    def poke(self) -> None:
+        """Poll the table soon."""
+        self._poke.set()
+
+    @property
+    def holder(self) -> Holder:
+        """Return this entry's id and the incarnation under which it owns shards."""
+        return (self._record.id, self._record.incarnation)
+
+    @property
+    def record(self) -> _ownership.EntryRecord:
+        """Return this entry's row as last written."""
+        return self._record
+
+    # Loops.
+
+    async def run(self) -> None:
+        """Renew, poll and acquire until cancelled."""
+        interval = self._settings.lease.poll_ms / 1000
+        while True:
+            self._poke.clear()
+            await self._tick()
+            try:
+                await asyncio.wait_for(self._poke.wait(), interval)
+            except TimeoutError:
+                continue
+            # A burst of pokes must not turn into a burst of table reads.
+            await asyncio.sleep(interval / 10)
+
+    async def extend_in_outage(self) -> None:
+        """Ask the peers for promises while renewals do not come through (rule 7)."""
+        while True:
+            await asyncio.sleep(PROMISE_INTERVAL_SECONDS)
+            now = _clock.monotonic()
+            if not self.lease.valid(now):
+                self._check_lapse()
+                continue
+            if self.lease.remaining(now) < self.lease.duration * PROMISE_SHARE:
+                await self._ask_for_promises(now)
+
+    async def _ask_for_promises(self, sent_at: float) -> None:
+        peers = sorted(self._promise_peers)
+        holder = self.holder
+        calls = [self.calls.promise(peer, holder, self.lease.duration) for peer in peers]
+        granted = dict(zip(peers, await asyncio.gather(*calls), strict=True))
+        self._extension.apply(granted, set(peers), sent_at, _clock.monotonic())
+
+    def _check_lapse(self) -> None:
+        if not self._registered or not self.holding_by_shard:
+            return
+        logger.bind(shards=len(self.holding_by_shard)).warning("lease lapsed, shards given up")
+        self._lose(list(self.holding_by_shard))
+
+    async def _tick(self) -> None:
+        try:
+            await self._renew()
+            await self._poll()
+        except _table.ConflictError:
+            await self._resolve_conflict()
+        except _table.TableError as error:
+            self._set_reachable(False, str(error))
+            return
+        self._set_reachable(True, "")
+
+    async def _renew(self) -> None:
+        known = {
+            (entry.id, entry.incarnation)
+            for entry in self.view.entry_by_id.values()
+            if entry.id != self._identity.id
+        }
+        record = attrs.evolve(
+            self._record, sequence=self._record.sequence + 1, peers=tuple(sorted(known))
+        )
+        self._promise_peers |= known
+        self._renewal_sent_at = _clock.monotonic()
+        self._record = record
+        key = _ownership.ENTRY_PREFIX + record.id
+        versions = await self._table.transact(
+            [_table.Check(key, self._row_version)], [_table.Write(key, record.as_value())]
+        )
+        self._row_version = versions[key]
+        self._registered = True
+        self._promise_peers = known
+        self.lease.extend(self._renewal_sent_at)
+
+    async def _resolve_conflict(self) -> None:
+        """Read the own row after a failed or doubtful renewal."""
+        key = _ownership.ENTRY_PREFIX + self._identity.id
+        try:
+            row = (await self._table.read([key], [])).get(key, _table.ABSENT)
+        except _table.TableError as error:
+            self._set_reachable(False, str(error))
+            return
+        self._row_version = row.version
+        found = _ownership.entry_record(row.value, row.version) if row.version else None
+        if found is None or found.incarnation != self._record.incarnation:
+            if self._registered:
+                self._become_new_incarnation("the row was deleted or belongs to another process")
+        elif found.state == _ownership.FENCED:
+            self._become_new_incarnation("another entry took over")
+        elif found.sequence == self._record.sequence:
+            # The last renewal took effect and only its reply was lost.
+            self._registered = True
+            self.lease.extend(self._renewal_sent_at)
+        if found is not None:
+            former = found.succeeded_by(self._record.incarnation)
+            self._record = attrs.evolve(self._record, former=former)
+
+    def _become_new_incarnation(self, reason: str) -> None:
+        # Other entries may still be taking shards of the fenced incarnation one by one,
+        # so that incarnation must never hold a lease again.
+        logger.bind(reason=reason).warning("entry was fenced, shards given up")
+        self.lease.drop()
+        self._registered = False
+        self._record = attrs.evolve(self._record, incarnation=_ids.new_incarnation())
+        self._lose(list(self.holding_by_shard))
+
+    async def _poll(self) -> None:
+        rows = await self._table.read(SNAPSHOT_KEYS, SNAPSHOT_PREFIXES)
+        now = _clock.monotonic()
+        entries = [
+            _ownership.entry_record(row.value, row.version)
+            for key, row in rows.items()
+            if key.startswith(_ownership.ENTRY_PREFIX)
+        ]
+        shards = [
+            _ownership.shard_record(row.value, row.version)
+            for key, row in rows.items()
+            if key.startswith(_ownership.SHARD_PREFIX)
+        ]
+        self.view.observe(entries, shards, now)
+        self._follow_rows()
+        self._events.on_snapshot(rows)
+        await self._acquire(now)
+        await self._rebalance(now)
+        await self._raise_epochs()
+        await self._remove_silent(now)
+
+    # Ownership.
+
+    def _follow_rows(self) -> None:
+        mine = self.holder
+        lost, taken = [], []
+        for shard, record in self.view.shard_by_number.items():
+            holding = self.holding_by_shard.get(shard)
+            if (record.owner, record.owner_incarnation) == mine:
+                if holding is None or holding.epoch < record.epoch:
+                    taken.append(record)
+                elif holding.epoch == record.epoch:
+                    holding.row_version = record.row_version
+            elif holding is not None and record.epoch > holding.epoch:
+                lost.append(shard)
+        if lost:
+            self._lose(lost)
+        if taken and self._record.state == _ownership.ACTIVE:
+            self._activate(taken)
+
+    def _lose(self, shards: list[int]) -> None:
+        for shard in shards:
+            self.holding_by_shard.pop(shard, None)
+        self._events.on_lost(shards)
+
+    def _activate(self, records: list[_ownership.ShardRecord]) -> None:
+        fenced = []
+        for record in records:
+            holding = _ownership.Holding(record.shard, record.epoch, record.row_version)
+            self.holding_by_shard[record.shard] = holding
+            if record.epoch > 1:
+                fenced.append(holding)
+                continue
+            # Nobody has owned the shard before, so nothing of it can have been started.
+            holding.active = True
+            self._events.on_active(record.shard)
+        if fenced:
+            task = asyncio.create_task(self._fence_and_activate(fenced))
+            self._activations.add(task)
+            task.add_done_callback(self._activations.discard)
+
+    async def _fence_and_activate(self, holdings: list[_ownership.Holding]) -> None:
+        listed = await self._read_listed_with_patience()
+        epochs = {holding.shard: holding.epoch for holding in holdings}
+        missing_by_shard = await self.calls.fence(epochs, listed)
+        jobs = self._settings.jobs
+        horizon = _clock.wall_ms() + jobs.clock_skew_ms + jobs.clock_tolerance_ms
+        for holding in holdings:
+            if self.holding_by_shard.get(holding.shard) is not holding:
+                continue
+            holding.missing = missing_by_shard[holding.shard]
+            holding.horizon_ms = horizon
+            holding.active = True
+            logger.bind(
+                shard=holding.shard, epoch=holding.epoch, missing=len(holding.missing)
+            ).info("shard taken")
+            self._events.on_active(holding.shard)
+
+    async def _read_listed_with_patience(self) -> set[Holder]:
+        while True:
+            try:
+                return await self.read_listed()
+            except _table.TableError as error:
+                self._set_reachable(False, str(error))
+                await asyncio.sleep(self._settings.lease.poll_ms / 1000)
+
+    async def _acquire(self, now: float) -> None:
+        if self._record.state != _ownership.ACTIVE or not self.lease.valid(now):
+            return
+        plan = _ownership.plan_acquisitions(
+            self.view,
+            self._settings.jobs.shard_count,
+            self._record.id,
+            self._record.incarnation,
+            now,
+        )
+        easy = [each for each in plan if not each.forced]
+        if easy:
+            await self._take(easy, None)
+        forced: dict[tuple[str, str], list[_ownership.Acquire]] = {}
+        for each in plan:
+            if each.forced:
+                forced.setdefault((each.owner, each.owner_incarnation), []).append(each)
+        for holder, shards in forced.items():
+            await self._take_over(holder, shards)
+
+    async def _take_over(self, holder: Holder, shards: list[_ownership.Acquire]) -> None:
+        """Take the shards of a silent owner after its promises have ended (rule 4)."""
+        previous = self.view.entry_by_id.get(holder[0])
+        peers = previous.peers_of(holder[1]) if previous else ()
+        if previous is not None and previous.incarnation != holder[1]:
+            # The row was overwritten, so the holder can't renew; nothing is left to fence.
+            previous = None
+        if previous is None or previous.state != _ownership.FENCED:
+            remaining = await self._promised(holder, peers)
+            if remaining is None:
+                await self._take_after_fence(shards, previous)
+                return
+            if remaining > 0:
+                return
+        await self._take(shards, previous)
+
+    async def _promised(self, holder: Holder, peers: tuple[Holder, ...]) -> float | None:
+        """Return the longest promise that still covers the holder; None if one is unknown."""
+        if not peers:
+            return None
+        mine = self.promises.query(holder, _clock.monotonic())
+        others = [peer for peer in peers if peer != self.holder]
+        answers = await asyncio.gather(*[self.calls.query(peer, holder) for peer in others])
+        if None in answers:
+            return None
+        return max([mine, *answers])
+
+    async def _take_after_fence(
+        self, shards: list[_ownership.Acquire], previous: _ownership.EntryRecord | None
+    ) -> None:
+        listed = await self.read_listed()
+        epochs = {each.shard: each.epoch for each in shards}
+        missing = await self.calls.fence(epochs, listed)
+        free = [each for each in shards if not missing[each.shard]]
+        if len(free) < len(shards):
+            logger.bind(shards=len(shards) - len(free)).debug("takeover waits for listed agents")
+        if free:
+            await self._take(free, previous)
+
+    async def _take(
+        self, shards: list[_ownership.Acquire], previous: _ownership.EntryRecord | None
+    ) -> None:
+        checks, writes = [], []
+        for each in shards:
+            key = f"{_ownership.SHARD_PREFIX}{each.shard}"
+            record = _ownership.ShardRecord(
+                each.shard,
+                each.epoch,
+                self._record.id,
+                self._record.incarnation,
+                _clock.wall_ms(),
+            )
+            checks.append(_table.Check(key, each.row_version))
+            writes.append(_table.Write(key, record.as_value()))
+        if previous is not None and previous.state != _ownership.FENCED:
+            key = _ownership.ENTRY_PREFIX + previous.id
+            fenced = attrs.evolve(previous, state=_ownership.FENCED)
+            checks.append(_table.Check(key, previous.row_version))
+            writes.append(_table.Write(key, fenced.as_value()))
+        try:
+            await self._table.transact(checks, writes)
+        except _table.ConflictError:
+            logger.bind(shards=len(shards)).info("another entry was first to take shards")
+        # The rows are read again, which also settles a lost reply.
+        self._poke.set()
+
+    async def _rebalance(self, now: float) -> None:
+        if self._record.state != _ownership.ACTIVE or not self.lease.valid(now):
+            return
+        held = [shard for shard, each in self.holding_by_shard.items() if each.active]
+        plan = _ownership.plan_handovers(self.view, held, self._identity.id, now)
+        if plan:
+            await self.release([each.shard for each in plan])
+
+    async def release(self, shards: list[int]) -> None:
+        """Stop using the shards and write their rows without an owner (rule 9)."""
+        checks, writes = [], []
+        for shard in shards:
+            holding = self.holding_by_shard.pop(shard)
+            key = f"{_ownership.SHARD_PREFIX}{shard}"
+            record = _ownership.ShardRecord(shard, holding.epoch, "", "", _clock.wall_ms())
+            checks.append(_table.Check(key, holding.row_version))
+            writes.append(_table.Write(key, record.as_value()))
+        logger.bind(shards=len(shards)).info("shards released")
+        try:
+            await self._table.transact(checks, writes)
+        except _table.ConflictError:
+            self._poke.set()
+        finally:
+            self._events.on_lost(shards)
+
+    async def _raise_epochs(self) -> None:
+        """Take own shards again at a higher epoch after an agent has seen one."""
+        suspended = [each for each in self.holding_by_shard.values() if each.suspended]
+        plan = [
+            _ownership.Acquire(
+                each.shard, each.highest_seen_epoch + 1, each.row_version, forced=False
+            )
+            for each in suspended
+        ]
+        if plan:
+            await self._take(plan, None)
+
+    async def _remove_silent(self, now: float) -> None:
+        for entry in _ownership.plan_removals(self.view, self._record.id, now):
+            key = _ownership.ENTRY_PREFIX + entry.id
+            logger.bind(entry=entry.id).info("silent entry removed from the roster")
+            with contextlib.suppress(_table.ConflictError):
+                await self._table.transact(
+                    [_table.Check(key, entry.row_version)], [_table.Write(key, None)]
+                )
+
+    async def stop_owning(self) -> None:
+        """Leave the roster as an owner and release every shard; the lease goes on."""
+        self._record = attrs.evolve(self._record, state=_ownership.STOPPING)
+        if self.holding_by_shard:
+            await self.release(list(self.holding_by_shard))
+
+    async def leave(self) -> None:
+        """Delete the own row; peers stop relying on this entry's promises."""
+        key = _ownership.ENTRY_PREFIX + self._identity.id
+        try:
+            await self._table.transact(
+                [_table.Check(key, self._row_version)], [_table.Write(key, None)]
+            )
+        except (_table.TableError, _table.ConflictError) as error:
+            logger.bind(reason=str(error)).warning("row of this entry stays in the table")
+
+    # Agents.
+
+    async def read_listed(self) -> set[tuple[str, str]]:
+        """Return every listed (agent, incarnation) that may hold starts."""
+        rows = await self._table.read([], [_ownership.AGENT_PREFIX])
+        records = [_ownership.agent_record(row.value, row.version) for row in rows.values()]
+        return _ownership.listed_incarnations(records, _clock.wall_ms(), self._keep_agents_ms)
+
+    @property
+    def _keep_agents_ms(self) -> int:
+        jobs = self._settings.jobs
+        return jobs.retention_ms + jobs.clock_skew_ms + jobs.clock_tolerance_ms + 60_000
+
+    async def list_agent(self, agent_id: str, incarnation: str) -> None:
+        """Write the agent's incarnation into its row before its first use (rule 2).
+
+        Raises `TableError` or `ConflictError`; the caller tries again.
+        """
+        key = _ownership.AGENT_PREFIX + agent_id
+        row = (await self._table.read([key], [])).get(key, _table.ABSENT)
+        record = _ownership.AgentRecord(agent_id, "")
+        if row.version:
+            record = _ownership.agent_record(row.value, row.version)
+        if record.incarnation == incarnation:
+            return
+        listed = record.superseded_by(incarnation, _clock.wall_ms(), self._keep_agents_ms)
+        await self._table.transact(
+            [_table.Check(key, row.version)], [_table.Write(key, listed.as_value())]
+        )
+
+    def _set_reachable(self, reachable: bool, reason: str) -> None:
+        if reachable == self.table_reachable:
+            return
+        self.table_reachable = reachable
+        if reachable:
+            logger.info("table is reachable")
+        else:
+            logger.bind(reason=reason).warning("table is not reachable")
--- a/src/daisyfall/process/_settings.py
+++ b/src/daisyfall/process/_settings.py
@@ -78,6 +78,7 @@
     agent_queue_ms: Annotated[int, Range(0, 10_000)] = 4
     retry_budget_percent: Annotated[int, Range(0, 100)] = 10
     retry_backoff_ms: DurationMs = 20
+    far_distance_ms: DurationMs = 1  # one way to an upstream in another data centre
     # More than half would let one bad job take most upstreams out of service.
     removed_share_percent: Annotated[int, Range(0, 50)] = 33
 
--- /dev/null
+++ b/src/daisyfall/request/_operator_api.py
@@ -0,0 +1,265 @@
+"""HTTP surface for operators."""
+
+import asyncio
+import json
+import uuid
+
+from aiohttp import web
+
+from daisyfall import _clock, errors
+from daisyfall.process import _metrics, _ownership, _registry, _settings, _table
+from daisyfall.request import _delivery
+from daisyfall.version import _lists, _lists_diff, _publisher
+
+WISHES = ("started", "draining", "stopped")
+
+
+class OperatorApi:
+    """Handlers of lists, upstreams, entries and owners."""
+
+    def __init__(
+        self,
+        settings: _settings.Settings,
+        *,
+        table: _table.Table,
+        registry: _registry.Registry,
+        publisher: _publisher.Publisher,
+        delivery: _delivery.Delivery,
+        metrics: _metrics.Metrics,
+        peer_versions: dict[str, int],
+    ):
+        self._tokens = settings.operator_tokens
+        self._table = table
+        self._registry = registry
+        self._publisher = publisher
+        self._delivery = delivery
+        self._metrics = metrics
+        self._peer_versions = peer_versions
+        self.wish_by_id: dict[str, str] = {}
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes."""
+        return [
+            web.get("/v1/lists", self._guard(self.get_lists)),
+            web.put("/v1/lists", self._guard(self.put_lists)),
+            web.get("/v1/lists/history", self._guard(self.get_history)),
+            web.get("/v1/lists/status", self._guard(self.get_status)),
+            web.get("/v1/upstreams", self._guard(self.get_upstreams)),
+            web.put("/v1/upstreams/{id}", self._guard(self.put_upstream)),
+            web.delete("/v1/upstreams/{id}", self._guard(self.delete_upstream)),
+            web.get("/v1/entries", self._guard(self.get_entries)),
+            web.get("/v1/owners", self._guard(self.get_owners)),
+        ]
+
+    def _guard(self, handler):
+        async def guarded(request: web.Request) -> web.Response:
+            scheme, _, bearer = request.headers.get("Authorization", "").partition(" ")
+            try:
+                if scheme != "Bearer" or not _lists.verify_operator(self._tokens, bearer):
+                    raise errors.DispatchError(errors.Kind.UNAUTHORIZED)
+                return await handler(request)
+            except errors.DispatchError as error:
+                self._metrics.refused(error.kind)
+                return _failure(error)
+
+        return guarded
+
+    # Lists.
+
+    async def get_lists(self, _request: web.Request) -> web.Response:
+        """Return the version in force with its documents."""
+        accepted = self._publisher.accepted
+        if accepted is None:
+            raise errors.DispatchError(errors.Kind.LISTS_UNAVAILABLE)
+        return web.json_response(
+            {
+                "version": accepted.version,
+                "digest": accepted.digest,
+                "apply_id": accepted.apply_id,
+                "plans": accepted.plans,
+                "allowances": accepted.allowances,
+            }
+        )
+
+    async def put_lists(self, request: web.Request) -> web.Response:
+        """Apply both lists against the version that the operator read."""
+        body = await _object(request)
+        base = body.get("base_version")
+        if type(base) is not int or base < 0:
+            raise errors.wrong_field("base_version", base, "the version that was read, 0 for none")
+        for field in ("plans", "allowances"):
+            if not isinstance(body.get(field), dict):
+                raise errors.wrong_field(field, type(body.get(field)).__name__, "an object")
+        apply_id = body.get("apply_id") or str(uuid.uuid4())
+        try:
+            lists = await self._publisher.apply(base, apply_id, body["plans"], body["allowances"])
+        except errors.DispatchError as error:
+            if error.kind is not errors.Kind.VERSION_CONFLICT:
+                raise
+            await self._refresh()
+            return _failure(error, diff=self._diff(body))
+        return web.json_response({"version": lists.version, "digest": lists.digest})
+
+    async def _refresh(self) -> None:
+        try:
+            await self._publisher.read()
+        except _table.TableError:
+            return
+
+    def _diff(self, body: dict) -> list[str]:
+        accepted = self._publisher.accepted
+        if accepted is None:
+            return []
+        mine = {"plans": body["plans"], "allowances": body["allowances"]}
+        theirs = {"plans": accepted.plans, "allowances": accepted.allowances}
+        return _lists_diff.diff(theirs, mine)
+
+    async def get_history(self, _request: web.Request) -> web.Response:
+        """Return the last accepted versions."""
+        return web.json_response({"versions": await self._publisher.history()})
+
+    async def get_status(self, _request: web.Request) -> web.Response:
+        """Return which process runs which version."""
+        me = self._registry.record.id
+        rows = [{"id": me, "role": "entry", "version": self._publisher.version}]
+        rows += [
+            {"id": entry, "role": "entry", "version": version}
+            for entry, version in sorted(self._peer_versions.items())
+        ]
+        rows += [
+            {"id": each.agent_id, "role": "agent", "version": each.status.lists_version}
+            for each in self._delivery.session_by_id.values()
+            if each.status
+        ]
+        return web.json_response({"version": self._publisher.version, "processes": rows})
+
+    # Upstreams.
+
+    async def get_upstreams(self, _request: web.Request) -> web.Response:
+        """Return the upstreams that are connected or have a wish."""
+        rows = [self._describe(each) for each in self._delivery.session_by_id.values()]
+        known = {row["id"] for row in rows}
+        rows += [
+            {"id": agent, "state": "absent", "wish": wish, "data_centre": "", "slots": 0}
+            | {"running": 0, "queued": 0, "lists_version": 0}
+            for agent, wish in self.wish_by_id.items()
+            if agent not in known
+        ]
+        return web.json_response({"upstreams": sorted(rows, key=lambda row: row["id"])})
+
+    def _describe(self, session) -> dict:
+        status = session.status
+        if status is None:
+            state = "connecting"
+        elif not status.listed:
+            state = "unlisted"
+        elif status.draining or self.wish_of(session.agent_id) != "started":
+            state = "draining" if status.running or status.queued else "drained"
+        else:
+            state = "ready" if status.ready else "no runner"
+        return {
+            "id": session.agent_id,
+            "state": state,
+            "wish": self.wish_of(session.agent_id),
+            "data_centre": session.data_centre,
+            "slots": status.slots if status else 0,
+            "running": status.running if status else 0,
+            "queued": status.queued if status else 0,
+            "lists_version": status.lists_version if status else 0,
+        }
+
+    def wish_of(self, agent_id: str) -> str:
+        """Return the operators' wish for an upstream."""
+        return self.wish_by_id.get(agent_id, "started")
+
+    async def put_upstream(self, request: web.Request) -> web.Response:
+        """Keep an operator's wish in the table."""
+        agent_id = request.match_info["id"]
+        wish = (await _object(request)).get("wish")
+        if wish not in WISHES:
+            raise errors.wrong_field("wish", wish, f"one of {', '.join(WISHES)}")
+        key = _ownership.WISH_PREFIX + agent_id
+        value = {"wish": wish, "at_ms": _clock.wall_ms()}
+        await self._write(key, value)
+        self._registry.poke()
+        return web.json_response({"id": agent_id, "wish": wish})
+
+    async def delete_upstream(self, request: web.Request) -> web.Response:
+        """Forget an upstream whose host is gone for good."""
+        agent_id = request.match_info["id"]
+        if agent_id in self._delivery.session_by_id:
+            raise errors.DispatchError(
+                errors.Kind.VERSION_CONFLICT, f"upstream {agent_id} is connected; stop it first"
+            )
+        await self._write(_ownership.AGENT_PREFIX + agent_id, None)
+        await self._write(_ownership.WISH_PREFIX + agent_id, None)
+        for holding in self._registry.holding_by_shard.values():
+            holding.missing = {each for each in holding.missing if each[0] != agent_id}
+        self._registry.poke()
+        return web.json_response({"id": agent_id, "removed": True})
+
+    async def _write(self, key: str, value) -> None:
+        """Write one row whatever it holds; the last operator wins, the wish is shown."""
+        for _ in range(3):
+            try:
+                row = (await self._table.read([key], [])).get(key, _table.ABSENT)
+                if row.version or value is not None:
+                    await self._table.transact(
+                        [_table.Check(key, row.version)], [_table.Write(key, value)]
+                    )
+                return
+            except _table.ConflictError:
+                await asyncio.sleep(0)
+            except _table.TableError as error:
+                kind = errors.Kind.TABLE_UNAVAILABLE
+                if error.effect is _table.Effect.UNKNOWN:
+                    kind = errors.Kind.WRITE_UNKNOWN
+                raise errors.DispatchError(kind, str(error)) from error
+        raise errors.DispatchError(errors.Kind.VERSION_CONFLICT)
+
+    # Entries.
+
+    async def get_entries(self, _request: web.Request) -> web.Response:
+        """Return the roster."""
+        now = _clock.monotonic()
+        live = set(self._registry.view.live(now))
+        rows = [
+            {
+                "id": entry.id,
+                "incarnation": entry.incarnation,
+                "address": entry.address,
+                "http_address": entry.http_address,
+                "data_centre": entry.data_centre,
+                "state": entry.state if entry.id in live else "silent",
+            }
+            for entry in self._registry.view.entry_by_id.values()
+        ]
+        return web.json_response({"entries": sorted(rows, key=lambda row: row["id"])})
+
+    async def get_owners(self, _request: web.Request) -> web.Response:
+        """Return the owner of each shard."""
+        rows = []
+        for shard, record in sorted(self._registry.view.shard_by_number.items()):
+            holding = self._registry.holding_by_shard.get(shard)
+            state = "owned" if record.owner else "released"
+            if holding is not None:
+                state = "active" if holding.active else "activating"
+            rows.append(
+                {"shard": shard, "epoch": record.epoch, "owner": record.owner, "state": state}
+            )
+        return web.json_response({"owners": rows})
+
+
+def _failure(error: errors.DispatchError, **more) -> web.Response:
+    body = {"error": error.as_body()} | more
+    return web.json_response(body, status=errors.ANSWERS[error.kind].status)
+
+
+async def _object(request: web.Request) -> dict:
+    try:
+        body = json.loads(await request.read())
+    except ValueError as error:
+        raise errors.DispatchError(errors.Kind.MALFORMED, str(error)) from error
+    if not isinstance(body, dict):
+        raise errors.wrong_field("body", type(body).__name__, "a JSON object")
+    return body
--- /dev/null
+++ b/src/daisyfall/request/_owner.py
@@ -0,0 +1,255 @@
+"""Jobs of the shards that this entry owns: admission, joining, settlement.
+
+The owner decides who may start what; `_delivery` exchanges the messages with
+the agents. Both run on the event loop and never wait.
+"""
+
+import asyncio
+
+import attrs
+
+from daisyfall import _clock, _ids, _wire, errors
+from daisyfall.process import _metrics, _ownership, _registry, _settings
+from daisyfall.request import _delivery, _dispatcher, _jobs, _reports, _submission, _work
+
+EXPIRY_INTERVAL_SECONDS = 1.0
+
+# Error kind of a task outcome that fails its job.
+KIND_BY_OUTCOME = {
+    _wire.FAILED: errors.Kind.TASK_FAILED,
+    _wire.LOST: errors.Kind.UPSTREAM_LOST,
+    _wire.EVICTED: errors.Kind.RESULT_LOST,
+}
+
+
+class Owner:
+    """The jobs of this entry's shards."""
+
+    def __init__(
+        self,
+        settings: _settings.Settings,
+        registry: _registry.Registry,
+        dispatcher: _dispatcher.Dispatcher,
+        delivery: _delivery.Delivery,
+        metrics: _metrics.Metrics,
+    ):
+        self._settings = settings
+        self._registry = registry
+        self._dispatcher = dispatcher
+        self._delivery = delivery
+        self._metrics = metrics
+        jobs = settings.jobs
+        self.jobs = _jobs.JobStore(
+            jobs.retention_ms + jobs.clock_skew_ms, jobs.answer_memory_mb * 1024 * 1024
+        )
+        self.reports = _reports.Reports()
+        delivery.bind(self)
+
+    # Submissions.
+
+    def submit(self, submission: _submission.Submission) -> _jobs.Job | _jobs.Record:
+        """Return the new or joined job, or the record of a settled one.
+
+        Raises `DispatchError` when the submission is refused; it was not run then.
+        """
+        now = _clock.monotonic()
+        shard = _ids.shard_of(submission.buyer, self._settings.jobs.shard_count)
+        holding = self._registry.usable(shard, now)
+        if holding is None:
+            raise errors.DispatchError(errors.Kind.NO_OWNER)
+        known = self._find(submission)
+        if known is not None:
+            return known
+        limits = self._settings.jobs
+        _submission.check_id_time(
+            submission.id_time_ms, _clock.wall_ms(), limits.retention_ms, limits.clock_skew_ms
+        )
+        deadline = now + submission.deadline_ms / 1000
+        tasks, digest = submission.tasks, submission.digest
+        work = _work.Work(
+            submission.buyer, submission.job_id, shard, tasks, deadline, digest, len(tasks)
+        )
+        job = _jobs.new_job(work, submission.digest, submission.id_time_ms, now)
+        reports = self.reports.take(shard, job.key)
+        if reports:
+            self._join_reported(job, reports, holding)
+        elif not _ownership.may_start_unreported(holding, submission.id_time_ms):
+            self._fail(job, errors.DispatchError(errors.Kind.START_UNKNOWN), remember=True)
+        else:
+            self._dispatcher.admit(work, now)
+            self.jobs.add(job)
+        self._delivery.pump_soon()
+        return job
+
+    def _find(self, submission: _submission.Submission) -> _jobs.Job | _jobs.Record | None:
+        known = self.jobs.job_by_key.get(submission.key)
+        if known is None:
+            known = self.jobs.record_by_key.get(submission.key)
+        if known is not None and known.digest != submission.digest:
+            raise _conflict(submission.job_id)
+        return known
+
+    def _join_reported(
+        self,
+        job: _jobs.Job,
+        reports: dict[str, _reports.Report],
+        holding: _ownership.Holding,
+    ) -> None:
+        """Take over a job that agents have started tasks of (rule 6)."""
+        if any(report.digest != job.digest for report in reports.values()):
+            for agent_id, report in reports.items():
+                self.reports.add(job.work.shard, agent_id, job.key, report)
+            raise _conflict(job.work.job_id)
+        job.sent = True
+        self.jobs.add(job)
+        started = 0
+        for agent_id, report in reports.items():
+            started |= report.started
+            running = _reports.bits_of(report.started & ~report.finished)
+            finished = _reports.bits_of(report.finished)
+            job.fetching.update(finished)
+            if not self._delivery.expect(agent_id, report.incarnation, job.key, running, finished):
+                self._fail(job, errors.DispatchError(errors.Kind.UPSTREAM_LOST))
+                return
+        unreported = [task for task in job.work.tasks if not started >> task.index & 1]
+        if unreported and not _ownership.may_start_unreported(holding, job.id_time_ms):
+            self._fail(job, errors.DispatchError(errors.Kind.START_UNKNOWN))
+            return
+        job.deferred = unreported
+        self._start_deferred(job)
+
+    def _start_deferred(self, job: _jobs.Job) -> None:
+        """Start what no agent has started, once it is known that no started task failed."""
+        if job.fetching or not job.deferred:
+            return
+        tasks, job.deferred = job.deferred, []
+        work = job.work
+        rest = attrs.evolve(work, tasks=tasks)
+        try:
+            self._dispatcher.admit(rest, _clock.monotonic())
+        except errors.DispatchError as error:
+            self._fail(
+                job,
+                errors.DispatchError(
+                    errors.Kind.OUTCOME_UNKNOWN, f"the rest of the job was refused: {error.detail}"
+                ),
+            )
+
+    def cancel(self, key: _work.Key) -> None:
+        """Cancel a job that is not settled; settled ones stay as they are."""
+        job = self.jobs.job_by_key.get(key)
+        if job is None:
+            if key not in self.jobs.record_by_key:
+                raise errors.DispatchError(errors.Kind.NOT_FOUND)
+            return
+        kind = errors.Kind.CANCELLED_RUNNING if job.sent else errors.Kind.CANCELLED
+        self._fail(job, errors.DispatchError(kind))
+
+    # What agents report about tasks.
+
+    def knows(self, key: _work.Key) -> bool:
+        """Tell whether the job was submitted here."""
+        return key in self.jobs.job_by_key or key in self.jobs.record_by_key
+
+    def task_sent(self, key: _work.Key) -> None:
+        """Note that a start of the job leaves for an agent."""
+        job = self.jobs.job_by_key.get(key)
+        if job is not None:
+            job.sent = True
+
+    def task_result(
+        self, agent_id: str, key: _work.Key, index: int, *, outcome: int, value, run_ms: float
+    ) -> None:
+        """Take one task's final outcome."""
+        job = self.jobs.job_by_key.get(key)
+        if job is None:
+            self.reports.finished(agent_id, key, index)
+            return
+        if outcome != _wire.DONE:
+            detail = f"task {index}: {value}" if value else ""
+            self._fail(job, errors.DispatchError(KIND_BY_OUTCOME[outcome], detail))
+            return
+        if not job.take_result(index, value, run_ms):
+            return
+        if job.fetching:
+            job.fetching.discard(index)
+            self._start_deferred(job)
+        if not job.remaining:
+            self._complete(job)
+
+    def task_not_started(self, key: _work.Key, index: int, reason: str, now: float) -> None:
+        """Queue a task again that provably did not start, within the retry budget."""
+        job = self.jobs.job_by_key.get(key)
+        if job is None:
+            return
+        if self._dispatcher.not_started(key, index, reason, now):
+            self._metrics.retried(reason)
+        else:
+            detail = f"task {index} was not started ({reason}) and the retry budget is used up"
+            self._fail(job, errors.DispatchError(errors.Kind.OUTCOME_UNKNOWN, detail))
+
+    # Settlement.
+
+    def _complete(self, job: _jobs.Job) -> None:
+        elapsed_ms = (_clock.monotonic() - job.submitted_at) * 1000
+        ideal_ms = max(job.longest_ms, job.total_ms / self._delivery.slots_for(job.work.buyer))
+        if ideal_ms > 0:
+            self._metrics.responded(elapsed_ms / ideal_ms)
+        self.jobs.settle(job, _jobs.Complete(job.body()), _clock.wall_ms())
+
+    def _fail(self, job: _jobs.Job, error: errors.DispatchError, remember: bool = False) -> None:
+        _, sent_by_agent = self._dispatcher.remove_work(job.key)
+        job.sent = job.sent or remember
+        self._delivery.cancel(job.key, sent_by_agent)
+        self._metrics.refused(error.kind)
+        self.jobs.settle(job, _jobs.Failed(error), _clock.wall_ms())
+
+    # Ownership.
+
+    def give_up(self, shards: set[int]) -> None:
+        """Hand the unsettled jobs of lost shards to whoever waits for them."""
+        for job in self.jobs.give_up(shards):
+            self._dispatcher.remove_work(job.key)
+            if not job.settled.done():
+                job.settled.set_result(_jobs.Relinquished())
+        self.reports.drop_shards(shards)
+        self._delivery.give_up(shards)
+
+    async def expire(self) -> None:
+        """End jobs at their deadline and forget settled ones, until cancelled."""
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_SECONDS)
+            now_ms = _clock.wall_ms()
+            self.jobs.expire(now_ms)
+            oldest = now_ms - self._settings.jobs.retention_ms - self._settings.jobs.clock_skew_ms
+            self.reports.expire(lambda job_id, limit=oldest: _ids.job_id_time_ms(job_id) < limit)
+
+    def end_overdue(self, now: float) -> None:
+        """Fail the jobs whose deadline has passed."""
+        for key in self._dispatcher.expired(now):
+            job = self.jobs.job_by_key.get(key)
+            if job is None:
+                self._dispatcher.remove_work(key)
+                continue
+            passed = errors.Kind.DEADLINE_PASSED
+            kind = errors.Kind.DEADLINE_PASSED_RUNNING if job.sent else passed
+            self._fail(job, errors.DispatchError(kind))
+
+    def explain(self, key: _work.Key) -> dict:
+        """Return why a job waits or how it ended."""
+        job = self.jobs.job_by_key.get(key)
+        if job is not None:
+            found = {"state": "running", "tasks": len(job.results), "open": job.remaining}
+            return found | self._dispatcher.explain(key, _clock.monotonic())
+        record = self.jobs.record_by_key.get(key)
+        if record is None:
+            raise errors.DispatchError(errors.Kind.NOT_FOUND)
+        if record.error is not None:
+            return {"state": "failed", "error": record.error.as_body()}
+        return {"state": "complete"}
+
+
+def _conflict(job_id: str) -> errors.DispatchError:
+    return errors.DispatchError(
+        errors.Kind.ID_CONFLICT, field="job_id", value=job_id, expected="an id not used before"
+    )
--- /dev/null
+++ b/src/daisyfall/request/_reports.py
@@ -0,0 +1,68 @@
+"""What agents report of jobs that an earlier owner has started."""
+
+import collections
+
+import attrs
+
+from daisyfall.request import _work
+
+
+def bits_of(bitmap: int) -> list[int]:
+    """Return the positions of the set bits."""
+    found = []
+    while bitmap:
+        lowest = bitmap & -bitmap
+        found.append(lowest.bit_length() - 1)
+        bitmap ^= lowest
+    return found
+
+
+@attrs.define(slots=True)
+class Report:
+    """One agent's report on one job; the bitmaps hold task indices as integers."""
+
+    incarnation: str
+    digest: bytes
+    task_count: int
+    started: int
+    finished: int
+
+
+class Reports:
+    """Reports by job and agent, for the shards that this entry owns."""
+
+    def __init__(self):
+        self._by_key: dict[_work.Key, dict[str, Report]] = {}
+        self._keys_by_shard: dict[int, set[_work.Key]] = collections.defaultdict(set)
+
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    def add(self, shard: int, agent_id: str, key: _work.Key, report: Report) -> None:
+        """Keep one report; a later one of the same agent replaces it."""
+        self._by_key.setdefault(key, {})[agent_id] = report
+        self._keys_by_shard[shard].add(key)
+
+    def finished(self, agent_id: str, key: _work.Key, index: int) -> None:
+        """Note a result that arrived before the job was submitted again."""
+        report = self._by_key.get(key, {}).get(agent_id)
+        if report is not None:
+            report.finished |= 1 << index
+
+    def take(self, shard: int, key: _work.Key) -> dict[str, Report]:
+        """Return and forget the reports on a job, by agent."""
+        self._keys_by_shard[shard].discard(key)
+        return self._by_key.pop(key, {})
+
+    def drop_shards(self, shards: set[int]) -> None:
+        """Forget the reports of shards that are no longer owned."""
+        for shard in shards:
+            for key in self._keys_by_shard.pop(shard, ()):
+                self._by_key.pop(key, None)
+
+    def expire(self, is_expired) -> None:
+        """Forget the jobs whose ids `is_expired(job_id)` says are refused by now."""
+        for keys in self._keys_by_shard.values():
+            for key in [each for each in keys if is_expired(each[1])]:
+                keys.discard(key)
+                self._by_key.pop(key, None)
--- a/src/daisyfall/request/_work.py
+++ b/src/daisyfall/request/_work.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from daisyfall import _ids
+
 Key = tuple[str, str]  # buyer, job id
 
 
@@ -30,15 +32,26 @@
 
 @attrs.define(slots=True, eq=False)
 class Work:
-    """The tasks of one job that are to be started; `deadline` is on the monotonic clock."""
+    """The tasks of one job that are to be started; `deadline` is on the monotonic clock.
+
+    `digest` and `task_count` describe the whole job, of which `tasks` may be the
+    part that no earlier owner has started.
+    """
 
     buyer: str
     job_id: str
     shard: int
     tasks: list[Task]
     deadline: float
+    digest: bytes = b""
+    task_count: int = 0
 
     @property
     def key(self) -> Key:
         """Return the job's key."""
         return (self.buyer, self.job_id)
+
+
+def shard_of(key: Key, shard_count: int) -> int:
+    """Return the shard of a job."""
+    return _ids.shard_of(key[0], shard_count)
--- /dev/null
+++ b/src/daisyfall/version/_publisher.py
@@ -0,0 +1,181 @@
+"""The lists in force in this process: followed in the table, never back to a lower version."""
+
+import asyncio
+import json
+from collections.abc import Callable
+
+import attrs
+from loguru import logger
+
+from daisyfall import _clock, errors
+from daisyfall.process import _objects, _table
+from daisyfall.version import _lists, _lists_check
+
+HEAD_KEY = "lists/head"
+DOCUMENT_KEY = "lists/doc"
+HISTORY_LENGTH = 50
+
+
+@attrs.frozen
+class Accepted:
+    """An accepted version with its documents."""
+
+    version: int
+    digest: str
+    apply_id: str
+    plans: dict
+    allowances: dict
+
+
+class Publisher:
+    """Follows, applies and hands out the lists."""
+
+    def __init__(
+        self,
+        table: _table.Table,
+        objects: _objects.Objects,
+        on_change: Callable[[_lists.Lists], None],
+    ):
+        self._table = table
+        self._objects = objects
+        self._on_change = on_change
+        self.lists: _lists.Lists | None = None
+        self.accepted: Accepted | None = None
+        self._archiving: set[asyncio.Task] = set()
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 for none."""
+        return self.lists.version if self.lists else 0
+
+    async def follow(self, head: _table.Row | None) -> None:
+        """Read the documents if the head names a higher version."""
+        if head is None or head.version == 0 or head.value["version"] <= self.version:
+            return
+        await self.read()
+
+    async def read(self) -> None:
+        """Read head and documents from the table and put them in force."""
+        rows = await self._table.read([HEAD_KEY, DOCUMENT_KEY], [])
+        if HEAD_KEY in rows and rows[HEAD_KEY].version:
+            self.adopt(rows[HEAD_KEY].value, rows[DOCUMENT_KEY].value)
+
+    def adopt(self, head: dict, document: dict) -> None:
+        """Put a version in force unless a higher one is (P8)."""
+        if head["version"] <= self.version:
+            return
+        lists = _lists_check.build(head["version"], document["plans"], document["allowances"])
+        self.lists = lists
+        self.accepted = Accepted(
+            head["version"],
+            head["digest"],
+            head["apply_id"],
+            document["plans"],
+            document["allowances"],
+        )
+        logger.bind(version=lists.version, digest=lists.digest).info("lists in force")
+        self._on_change(lists)
+
+    def as_document(self) -> dict:
+        """Return head and documents in the form that `adopt` takes."""
+        if self.accepted is None:
+            return {}
+        accepted = self.accepted
+        head = {
+            "version": accepted.version,
+            "digest": accepted.digest,
+            "apply_id": accepted.apply_id,
+        }
+        document = {"plans": accepted.plans, "allowances": accepted.allowances}
+        return {"head": head, "document": document}
+
+    async def apply(
+        self, base_version: int, apply_id: str, plans: dict, allowances: dict
+    ) -> _lists.Lists:
+        """Commit both lists in one transaction against the version the operator read.
+
+        Raises `DispatchError`: `LISTS_INVALID`, `VERSION_CONFLICT`, `WRITE_UNKNOWN`
+        (the effect could not be read back) or `TABLE_UNAVAILABLE`.
+        """
+        lists = _lists_check.build(base_version + 1, plans, allowances)
+        try:
+            rows = await self._table.read([HEAD_KEY, DOCUMENT_KEY], [])
+        except _table.TableError as error:
+            raise errors.DispatchError(errors.Kind.TABLE_UNAVAILABLE, str(error)) from error
+        head = rows.get(HEAD_KEY, _table.ABSENT)
+        if head.version and head.value["apply_id"] == apply_id:
+            return await self._confirm(apply_id)
+        current = head.value["version"] if head.version else 0
+        if current != base_version:
+            raise self._version_conflict(base_version, current)
+        await self._commit(lists, apply_id, plans, allowances, rows)
+        return await self._confirm(apply_id)
+
+    async def _commit(
+        self, lists: _lists.Lists, apply_id: str, plans: dict, allowances: dict, rows: dict
+    ) -> None:
+        head = rows.get(HEAD_KEY, _table.ABSENT)
+        history = head.value["history"] if head.version else []
+        entry = {"version": lists.version, "digest": lists.digest, "at_ms": _clock.wall_ms()}
+        value = {
+            "version": lists.version,
+            "digest": lists.digest,
+            "apply_id": apply_id,
+            "history": [*history, entry][-HISTORY_LENGTH:],
+        }
+        document = {"plans": plans, "allowances": allowances}
+        checks = [
+            _table.Check(key, rows.get(key, _table.ABSENT).version)
+            for key in (HEAD_KEY, DOCUMENT_KEY)
+        ]
+        writes = [_table.Write(HEAD_KEY, value), _table.Write(DOCUMENT_KEY, document)]
+        try:
+            await self._table.transact(checks, writes)
+        except _table.ConflictError:
+            return  # the confirmation below tells whose write was first
+        except _table.TableError as error:
+            if error.effect is _table.Effect.NONE:
+                raise errors.DispatchError(errors.Kind.TABLE_UNAVAILABLE, str(error)) from error
+        self._archive_soon(lists.version, document)
+
+    async def _confirm(self, apply_id: str) -> _lists.Lists:
+        try:
+            await self.read()
+        except _table.TableError as error:
+            raise errors.DispatchError(errors.Kind.WRITE_UNKNOWN, str(error)) from error
+        accepted = self.accepted
+        if accepted is None or accepted.apply_id != apply_id:
+            raise self._version_conflict(0, self.version)
+        return self.lists
+
+    def _version_conflict(self, base: int, current: int) -> errors.DispatchError:
+        return errors.DispatchError(
+            errors.Kind.VERSION_CONFLICT,
+            field="base_version",
+            value=base,
+            expected=current,
+        )
+
+    async def history(self) -> list[dict]:
+        """Return the last accepted versions, newest last."""
+        try:
+            head = (await self._table.read([HEAD_KEY], [])).get(HEAD_KEY, _table.ABSENT)
+        except _table.TableError as error:
+            raise errors.DispatchError(errors.Kind.TABLE_UNAVAILABLE, str(error)) from error
+        return head.value["history"] if head.version else []
+
+    def _archive_soon(self, version: int, document: dict) -> None:
+        task = asyncio.create_task(self._archive(version, document))
+        self._archiving.add(task)
+        task.add_done_callback(self._archiving.discard)
+
+    async def _archive(self, version: int, document: dict) -> None:
+        """Keep the documents of a version in the object store; nothing depends on it."""
+        for delay_seconds in (0, 1, 5, 30):
+            await asyncio.sleep(delay_seconds)
+            try:
+                await self._objects.put(f"lists/{version}.json", json.dumps(document).encode())
+                return
+            except _objects.ObjectsError as error:
+                reason = str(error)
+        logger.bind(version=version, reason=reason).warning("lists version was not archived")
