Add a thin agent: start, run, report, fence

The agent dials its entries, accepts Start, runs tasks at an HTTP or null runner and answers Fence, Cancel, Recall and FetchResults.

--- /dev/null
+++ b/src/daisyfall/connection/_entry_links.py
@@ -0,0 +1,174 @@
+"""An agent's links to all entries: one dialling task for each entry on the roster, and seeds."""
+
+import asyncio
+import random
+
+import loguru
+import websockets.asyncio.client
+import websockets.exceptions
+
+from daisyfall import _wire
+from daisyfall.connection import _entry_link, _handshake
+from daisyfall.process import _metrics, _settings
+
+BACKOFF_FIRST_SECONDS = 0.05
+BACKOFF_LIMIT_SECONDS = 1.0
+# A link that lived for less than this does not reset the backoff.
+STABLE_SECONDS = 1.0
+CLOSE_TIMEOUT_SECONDS = 1.0
+
+_DIAL_ERRORS = (
+    OSError,
+    TimeoutError,
+    websockets.exceptions.WebSocketException,
+    _handshake.HandshakeError,
+    _wire.WireError,
+)
+
+
+class EntryLinks:
+    """Live links by entry id; at most one for each entry."""
+
+    def __init__(
+        self,
+        settings: _settings.Settings,
+        handler: _entry_link.Handler,
+        metrics: _metrics.Metrics,
+        source: random.Random,
+    ):
+        self.by_id: dict[str, _entry_link.EntryLink] = {}
+        self._settings = settings
+        self._handler = handler
+        self._metrics = metrics
+        self._random = source
+        self._url_by_id: dict[str, str] = {}
+        self._roster_by_sender: dict[str, dict[str, str]] = {}
+        self._task_by_id: dict[str, asyncio.Task] = {}
+        self._seed_task: asyncio.Task | None = None
+        self._changed = asyncio.Event()
+        self._log = loguru.logger.bind(agent=settings.id)
+
+    def start(self) -> None:
+        """Start to dial."""
+        self._seed_task = asyncio.create_task(self._dial_seeds())
+
+    async def close(self) -> None:
+        """Write what is queued, close all links and stop dialling."""
+        await asyncio.gather(*[link.flush() for link in self.by_id.values()])
+        # Each task ends with a closing handshake, so the entry has read all that was written.
+        tasks = [task for task in [self._seed_task, *self._task_by_id.values()] if task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def broadcast(self, message: object) -> None:
+        """Send a message on every link."""
+        for link in self.by_id.values():
+            link.send(message)
+
+    def update_roster(self, sender: str, entries: list) -> None:
+        """Dial the entries `[[id, url], ...]` that an entry knows, and stop dialling others."""
+        roster = {entry_id: url for entry_id, url in entries}
+        if self._roster_by_sender.get(sender) == roster:
+            return
+        self._roster_by_sender[sender] = roster
+        self._reconcile()
+
+    def _reconcile(self) -> None:
+        # Without any link the last known roster stays in use.
+        if self._roster_by_sender:
+            self._url_by_id = {}
+            for roster in self._roster_by_sender.values():
+                self._url_by_id.update(roster)
+        for entry_id in self._url_by_id:
+            if entry_id not in self._task_by_id:
+                task = asyncio.create_task(self._dial_entry(entry_id))
+                self._task_by_id[entry_id] = task
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _dial_entry(self, entry_id: str) -> None:
+        failures = 0
+        try:
+            while entry_id in self._url_by_id:
+                if entry_id in self.by_id:
+                    await self._changed.wait()
+                    continue
+                stable = await self._dial(self._url_by_id[entry_id], entry_id)
+                failures = 0 if stable else failures + 1
+                await asyncio.sleep(self._backoff(failures))
+        finally:
+            self._task_by_id.pop(entry_id, None)
+
+    async def _dial_seeds(self) -> None:
+        failures = 0
+        seeds = self._settings.entries
+        while seeds:
+            if self.by_id:
+                failures = 0
+                await self._changed.wait()
+                continue
+            await self._dial(seeds[failures % len(seeds)], "")
+            failures += 1
+            await asyncio.sleep(self._backoff(failures))
+
+    def _backoff(self, failures: int) -> float:
+        limit = min(BACKOFF_LIMIT_SECONDS, BACKOFF_FIRST_SECONDS * 2 ** min(failures, 10))
+        return self._random.uniform(limit / 2, limit)
+
+    async def _dial(self, address: str, expected_id: str) -> bool:
+        """Connect and serve the link until it ends; tell whether it was stable."""
+        loop = asyncio.get_running_loop()
+        try:
+            socket = await websockets.asyncio.client.connect(
+                address if "://" in address else f"ws://{address}",
+                compression=None,
+                max_size=_wire.MAX_MESSAGE_BYTES,
+                ping_interval=None,  # heartbeats are messages of our own
+                open_timeout=_handshake.HANDSHAKE_TIMEOUT_SECONDS,
+                close_timeout=CLOSE_TIMEOUT_SECONDS,
+                proxy=None,
+            )
+        except _DIAL_ERRORS as error:
+            self._metrics.link_failed("dial")
+            self._log.debug("entry {} can't be reached: {}", address, error)
+            return False
+        began = loop.time()
+        try:
+            await self._serve(socket, expected_id)
+        except _DIAL_ERRORS as error:
+            self._metrics.link_failed("protocol")
+            self._log.debug("link to {} ended: {}", address, error)
+        except Exception:
+            # A message that can't be handled ends its link only, not the dialling task.
+            self._metrics.link_failed("internal")
+            self._log.exception("link to {} failed", address)
+        finally:
+            await socket.close()
+        return loop.time() - began >= STABLE_SECONDS
+
+    async def _serve(self, socket, expected_id: str) -> None:
+        key = self._settings.keys[0]
+        welcome = await _handshake.connect(socket, key, self._handler.hello())
+        entry_id = welcome.node_id
+        if expected_id and entry_id != expected_id:
+            raise _handshake.HandshakeError(f"found entry {entry_id}, expected {expected_id}")
+        if entry_id in self.by_id:
+            raise _handshake.HandshakeError(f"entry {entry_id} has a link already")
+        silence_limit = self._settings.lease.heartbeat_limit_ms / 1000
+        link = _entry_link.EntryLink(socket, entry_id, silence_limit, self._handler)
+        self.by_id[entry_id] = link
+        self._metrics.links(len(self.by_id))
+        self._log.info("link to entry {} is up", entry_id)
+        self._notify()
+        try:
+            await link.serve()
+        finally:
+            del self.by_id[entry_id]
+            self._roster_by_sender.pop(entry_id, None)
+            self._metrics.links(len(self.by_id))
+            self._log.info("link to entry {} is down", entry_id)
+            self._reconcile()
--- /dev/null
+++ b/src/daisyfall/process/_agent.py
@@ -0,0 +1,340 @@
+"""Composition root of role agent: starts tasks of the entries at the runner beside it."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Coroutine
+
+import attrs
+import loguru
+
+from daisyfall import _clock, _ids, _wire
+from daisyfall.connection import _entry_link, _entry_links
+from daisyfall.process import (
+    _agent_api,
+    _announcement,
+    _executor,
+    _lifecycle,
+    _metrics,
+    _runner,
+    _settings,
+)
+from daisyfall.request import _ledger, _task_queue
+
+# Reasons why no work is taken, as in `StartRefused.reason`.
+DRAINING = "draining"
+NOT_LISTED = "not_listed"
+NO_RUNNER = "no_runner"
+REASON_RUNNER_LOST = "the runner does not announce itself"
+REASON_STOP_LIMIT = "the agent stopped before the runner answered"
+
+WISH_STARTED = "started"
+RUNNER_KIND_NULL = "null"
+BYTES_PER_MB = 1024 * 1024
+DELIVERY_POLL_SECONDS = 0.02
+CLOSE_LIMIT_SECONDS = 2.0
+
+
+async def run(settings: _settings.Settings) -> None:
+    """Run an agent until SIGTERM or SIGINT, then stop gracefully."""
+    agent = Agent(settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await agent.start()
+    await stop.wait()
+    await agent.stop()
+
+
+class Agent:
+    """One agent; also the handler of its links and the source of its HTTP server."""
+
+    def __init__(self, settings: _settings.Settings, source: random.Random | None = None):
+        self.settings = settings
+        self.metrics = _metrics.Metrics()
+        self.incarnation = _ids.new_incarnation()
+        self._log = loguru.logger.bind(agent=settings.id)
+        self._is_listed = False
+        self._is_stopping = False
+        self._lists_version = 0
+        self._wish_by_entry: dict[str, str] = {}
+        self._runner: _runner.Runner | None = None
+        self._target: object = None
+        self._capacity = _task_queue.NOTHING
+        self._runner_id = ""
+        self._runner_labels: list[str] = []
+        self._tasks: set[asyncio.Task] = set()
+        self._sent_status: _wire.AgentStatus | None = None
+        self._ledger = _ledger.Ledger(
+            self.incarnation,
+            settings.jobs.retention_ms / 1000,
+            settings.jobs.answer_memory_mb * BYTES_PER_MB,
+        )
+        self._lifecycle = _lifecycle.Lifecycle(settings.id, self._send_changed_status)
+        self._links = _entry_links.EntryLinks(
+            settings, self, self.metrics, source or random.Random()
+        )
+        self._executor = _executor.Executor(
+            self._ledger, self.metrics, self._links.by_id.get, self._closed_reason
+        )
+        limit_seconds = settings.runner.announce_limit_ms / 1000
+        self._watch = _announcement.Watch(limit_seconds, self._use_announced)
+        self._api = _agent_api.AgentApi(self, settings.http)
+
+    @property
+    def http_port(self) -> int:
+        """Return the bound port of the HTTP server."""
+        return self._api.port
+
+    async def start(self) -> None:
+        """Listen for announcements and start to dial."""
+        await self._api.start()
+        if self.settings.runner.kind == RUNNER_KIND_NULL:
+            self._use_null_runner()
+        self._links.start()
+        self._spawn(self._beat())
+
+    async def stop(self) -> None:
+        """Stop gracefully: finish and deliver what runs, at most for the drain limit."""
+        self._is_stopping = True
+        self._evaluate()
+        try:
+            async with asyncio.timeout(self.settings.runner.drain_limit_ms / 1000):
+                await self._executor.wait_idle()
+                await self._wait_delivered()
+        except TimeoutError:
+            self._log.warning("drain limit reached, {} tasks still run", self._executor.running)
+            self._executor.stop_running(lambda _queued: True, REASON_STOP_LIMIT)
+        await self._close()
+
+    # Handler of the links.
+
+    def hello(self) -> _wire.Hello:
+        """See `_entry_link.Handler`."""
+        settings = self.settings
+        host = settings.http.advertise_host or settings.http.host
+        return _wire.Hello(
+            role=_wire.ROLE_AGENT,
+            node_id=settings.id,
+            incarnation=self.incarnation,
+            version=0,
+            proof=b"",
+            data_centre=settings.data_centre,
+            address=f"{host}:{self._api.port}",
+            rack=settings.rack,
+            listed=self._is_listed,
+        )
+
+    def load(self) -> tuple[int, int]:
+        """See `_entry_link.Handler`."""
+        return self._executor.running, self._executor.queued
+
+    def opened(self, link: _entry_link.EntryLink) -> None:
+        """See `_entry_link.Handler`."""
+        link.send(self._status())
+
+    def handle(self, link: _entry_link.EntryLink, message: object) -> None:
+        """See `_entry_link.Handler`."""
+        match message:
+            case _wire.Start():
+                self._executor.on_start(link, message)
+            case _wire.Roster():
+                self._on_roster(link, message)
+            case _wire.Fence():
+                self._executor.on_fence(link, message)
+            case _wire.FetchResults():
+                self._executor.on_fetch(link, message)
+            case _wire.Cancel():
+                self._executor.on_cancel(link, message)
+            case _wire.Recall():
+                self._executor.on_recall(link, message)
+            case _wire.Listed():
+                self._on_listed(message)
+            case _:
+                name = type(message).__name__
+                raise _wire.WireError(f"found {name}, expected a message to an agent")
+
+    def closed(self, link: _entry_link.EntryLink, unsent: list[list]) -> None:
+        """See `_entry_link.Handler`."""
+        self._executor.keep_unsent(unsent)
+        # An agent cut off from all entries keeps to the last wish it knows.
+        if len(self._wish_by_entry) > 1:
+            self._wish_by_entry.pop(link.entry_id, None)
+            self._evaluate()
+
+    # Source of the HTTP server.
+
+    def announce(self, announcement: _announcement.Announcement) -> None:
+        """See `_agent_api.Source`."""
+        self._watch.renew(announcement)
+
+    def is_ready(self) -> bool:
+        """See `_agent_api.Source`."""
+        return self._lifecycle.state == _lifecycle.READY and bool(self._links.by_id)
+
+    def status(self) -> dict:
+        """See `_agent_api.Source`."""
+        return {
+            "id": self.settings.id,
+            "role": self.settings.role,
+            "incarnation": self.incarnation,
+            "state": self._lifecycle.state,
+            "listed": self._is_listed,
+            "wish": self._wish(),
+            "links": sorted(self._links.by_id),
+            "runner": self._runner_id,
+            "slots": self._capacity.slots,
+            "running": self._executor.running,
+            "queued": self._executor.queued,
+            "lists_version": self._lists_version,
+            "ledger": self._ledger_sizes(),
+        }
+
+    def refresh_metrics(self) -> None:
+        """See `_agent_api.Source`."""
+        self.metrics.agent(self._ledger_sizes(), self._executor.running, self._executor.queued)
+
+    # State.
+
+    def _on_roster(self, link: _entry_link.EntryLink, roster: _wire.Roster) -> None:
+        self._links.update_roster(link.entry_id, roster.entries)
+        self._lists_version = max(self._lists_version, roster.lists_version)
+        self._wish_by_entry[link.entry_id] = roster.wish or WISH_STARTED
+        self._evaluate()
+
+    def _on_listed(self, listed: _wire.Listed) -> None:
+        if listed.incarnation == self.incarnation:
+            self._is_listed = True
+            self._evaluate()
+
+    def _wish(self) -> str:
+        # Entries read the wish at different moments; the agent takes work only when none of
+        # them wants otherwise, so that it doesn't change to and fro meanwhile.
+        wishes = [wish for wish in self._wish_by_entry.values() if wish != WISH_STARTED]
+        return wishes[0] if wishes else WISH_STARTED
+
+    def _closed_reason(self) -> str:
+        if not self._lifecycle.takes_work:
+            return DRAINING
+        if not self._is_listed:
+            return NOT_LISTED
+        return "" if self._runner is not None else NO_RUNNER
+
+    def _evaluate(self) -> None:
+        """Bring the life cycle in line with the wish, the runner and the listing."""
+        wants_work = not self._is_stopping and self._wish() == WISH_STARTED
+        if wants_work and not self._lifecycle.takes_work:
+            self._lifecycle.resume()
+        elif not wants_work and self._lifecycle.takes_work:
+            self._lifecycle.drain()
+            self._executor.hand_back(DRAINING)
+            self._spawn(self._finish_draining())
+        self._lifecycle.settle(is_open=not self._closed_reason())
+        self._send_changed_status()
+
+    async def _finish_draining(self) -> None:
+        await self._executor.wait_idle()
+        if self._lifecycle.state == _lifecycle.DRAINING:
+            self._lifecycle.finish_draining()
+
+    # Runner.
+
+    def _use_null_runner(self) -> None:
+        runner = self.settings.runner
+        self._runner_id = RUNNER_KIND_NULL
+        capacity = _task_queue.Capacity(
+            runner.slots, runner.connections, runner.memory_mb, runner.accelerators
+        )
+        self._use(_runner.NullTarget(), capacity)
+
+    def _use_announced(self, announcement: _announcement.Announcement | None) -> None:
+        if announcement is None:
+            self._log.warning("runner {} does not announce itself any more", self._runner_id)
+            self._use(None, _task_queue.NOTHING)
+            self._executor.hand_back(REASON_RUNNER_LOST)
+            return
+        self._log.info("runner {} at {}", announcement.id, announcement.url)
+        self._runner_id = announcement.id
+        self._runner_labels = announcement.labels
+        capacity = _task_queue.Capacity(
+            announcement.slots,
+            announcement.connections,
+            announcement.memory_mb,
+            announcement.accelerators,
+        )
+        # No deadline is longer than half the retention time, so no answer is awaited longer.
+        run_limit_seconds = self.settings.jobs.retention_ms / 1000 / 2
+        target = _runner.HttpTarget(announcement.url, announcement.connections, run_limit_seconds)
+        self._use(target, capacity)
+
+    def _use(self, target: object, capacity: _task_queue.Capacity) -> None:
+        if target != self._target:
+            if self._runner is not None:
+                self._spawn(self._runner.close())
+            self._runner = None if target is None else _runner.connect(target)
+            self._target = target
+        self._capacity = capacity
+        self._executor.use(self._runner, capacity)
+        self._evaluate()
+
+    # Heartbeat and end.
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.lease.heartbeat_ms / 1000)
+            self._links.broadcast(self._status())
+            self._ledger.expire(_clock.monotonic())
+
+    def _status(self) -> _wire.AgentStatus:
+        return _wire.AgentStatus(
+            slots=self._capacity.concurrency,
+            running=self._executor.running,
+            queued=self._executor.queued,
+            ready=self._lifecycle.state == _lifecycle.READY,
+            draining=not self._lifecycle.takes_work,
+            listed=self._is_listed,
+            memory_mb=self._capacity.memory_mb,
+            accelerators=self._capacity.accelerators,
+            labels=[*self.settings.labels, *self._runner_labels],
+            lists_version=self._lists_version,
+            runner_id=self._runner_id,
+        )
+
+    def _send_changed_status(self) -> None:
+        status = self._status()
+        # The load changes with each task and is told by Results and the next heartbeat.
+        compared = attrs.evolve(status, running=0, queued=0)
+        if compared != self._sent_status:
+            self._sent_status = compared
+            self._links.broadcast(status)
+
+    def _ledger_sizes(self) -> dict[str, int]:
+        return {
+            "jobs": len(self._ledger),
+            "result_bytes": self._ledger.result_bytes,
+            "evicted_results": self._ledger.evicted_results,
+            "unsent_results": self._ledger.unsent_results,
+        }
+
+    def _spawn(self, coroutine: Coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _wait_delivered(self) -> None:
+        while self._ledger.unsent_results:
+            await asyncio.sleep(DELIVERY_POLL_SECONDS)
+
+    async def _close(self) -> None:
+        self._watch.close()
+        try:
+            async with asyncio.timeout(CLOSE_LIMIT_SECONDS):
+                await self._links.close()
+        except TimeoutError:
+            self._log.warning("links did not close within {} s", CLOSE_LIMIT_SECONDS)
+        if self._runner is not None:
+            await self._runner.close()
+        await self._api.close()
+        for task in list(self._tasks):
+            task.cancel()
--- /dev/null
+++ b/src/daisyfall/process/_agent_api.py
@@ -0,0 +1,94 @@
+"""HTTP server of an agent: runner announcements, health, status and metrics."""
+
+import json
+from typing import Protocol
+
+from aiohttp import web
+
+from daisyfall import errors
+from daisyfall.process import _announcement, _metrics, _settings
+
+ANNOUNCEMENT_LIMIT_BYTES = 64 * 1024
+
+
+class Source(Protocol):
+    """What the server shows."""
+
+    metrics: _metrics.Metrics
+
+    def announce(self, announcement: _announcement.Announcement) -> None:
+        """Take a checked announcement."""
+
+    def is_ready(self) -> bool:
+        """Tell whether the agent takes work."""
+
+    def status(self) -> dict:
+        """Return the JSON of `/status`."""
+
+    def refresh_metrics(self) -> None:
+        """Bring the gauges up to date."""
+
+
+class AgentApi:
+    """The routes and their listener."""
+
+    def __init__(self, source: Source, address: _settings.Address):
+        self._source = source
+        self._address = address
+        self._runner: web.AppRunner | None = None
+        self.port = address.port
+
+    async def start(self) -> None:
+        """Listen; `port` is the bound one afterwards."""
+        application = web.Application(client_max_size=ANNOUNCEMENT_LIMIT_BYTES)
+        application.router.add_post("/v1/announce", self._announce)
+        application.router.add_get("/healthz", self._health)
+        application.router.add_get("/readyz", self._ready)
+        application.router.add_get("/status", self._status)
+        application.router.add_get("/metrics", self._metrics)
+        self._runner = web.AppRunner(application, access_log=None, shutdown_timeout=1.0)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self._address.host, self._address.port)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def close(self) -> None:
+        """Stop to listen."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _announce(self, request: web.Request) -> web.Response:
+        try:
+            self._source.announce(_announcement.parse(await _read_json(request)))
+        except errors.DispatchError as error:
+            self._source.metrics.refused(error.kind)
+            status = errors.ANSWERS[error.kind].status
+            return web.json_response({"error": error.as_body()}, status=status)
+        return web.json_response({})
+
+    async def _health(self, _request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _ready(self, _request: web.Request) -> web.Response:
+        if self._source.is_ready():
+            return web.Response(text="ready\n")
+        return web.Response(text="not ready\n", status=503)
+
+    async def _status(self, _request: web.Request) -> web.Response:
+        return web.json_response(self._source.status())
+
+    async def _metrics(self, _request: web.Request) -> web.Response:
+        self._source.refresh_metrics()
+        return web.Response(
+            body=self._source.metrics.render(),
+            headers={"Content-Type": "text/plain; version=0.0.4; charset=utf-8"},
+        )
+
+
+async def _read_json(request: web.Request) -> object:
+    try:
+        return json.loads(await request.read())
+    except web.HTTPRequestEntityTooLarge as error:
+        raise errors.DispatchError(errors.Kind.TOO_LARGE) from error
+    except ValueError as error:
+        raise errors.DispatchError(errors.Kind.MALFORMED) from error
--- /dev/null
+++ b/src/daisyfall/process/_executor.py
@@ -0,0 +1,257 @@
+"""Acts on the messages that concern tasks: joins ledger, queue, runner and links."""
+
+import asyncio
+from collections.abc import Callable
+
+import loguru
+
+from daisyfall import _clock, _wire
+from daisyfall.connection import _entry_link
+from daisyfall.process import _metrics, _runner
+from daisyfall.request import _ledger, _task_queue, _work
+
+REASON_CANCELLED = "cancelled"
+REASON_RECALLED = "recalled"
+REASON_TOO_LARGE = "the task needs more memory or accelerators than the worker has"
+
+_OUTCOME_NAMES = {
+    _wire.DONE: "done",
+    _wire.FAILED: "failed",
+    _wire.NOT_STARTED: "not_started",
+    _wire.LOST: "lost",
+}
+
+
+class Executor:
+    """Starts tasks and delivers their results.
+
+    `link_of` returns the live link to an entry by its id, and `closed_reason` why
+    no work is taken at present (empty if it is).
+    """
+
+    def __init__(
+        self,
+        ledger: _ledger.Ledger,
+        metrics: _metrics.Metrics,
+        link_of: Callable[[str], _entry_link.EntryLink | None],
+        closed_reason: Callable[[], str],
+    ):
+        self._ledger = ledger
+        self._metrics = metrics
+        self._link_of = link_of
+        self._closed_reason = closed_reason
+        self._queue = _task_queue.TaskQueue()
+        self._runner: _runner.Runner | None = None
+        self._running: dict[tuple[_work.Key, int], tuple] = {}  # (queued task, asyncio task)
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def running(self) -> int:
+        """Return the number of tasks at the runner."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Return the number of tasks that wait."""
+        return len(self._queue)
+
+    def use(self, runner: _runner.Runner | None, capacity: _task_queue.Capacity) -> None:
+        """Start tasks at this runner from now on."""
+        self._runner = runner
+        self._queue.capacity = capacity
+        if runner is not None:
+            misfits = self._queue.remove(lambda queued: not self._queue.can_ever_fit(queued.task))
+            self._return_all(misfits, REASON_TOO_LARGE)
+        self._pump()
+
+    async def wait_idle(self) -> None:
+        """Wait until nothing runs."""
+        await self._idle.wait()
+
+    def on_start(self, link: _entry_link.EntryLink, start: _wire.Start) -> None:
+        """Queue the tasks of a Start, or refuse it."""
+        now = _clock.monotonic()
+        answer = self._ledger.accept(start, link.entry_id, now, self._closed_reason())
+        if answer.raised:
+            self._drop_lower_epochs(start.shard)
+        match answer:
+            case _ledger.Refused(reason=reason, seen_epoch=seen):
+                self._refuse(link, start, reason, seen)
+            case _ledger.Accepted(tasks=tasks, repeated=repeated):
+                for item in repeated:
+                    link.send(item)
+                self._enqueue(_task_queue.from_start(start, tasks))
+                self._pump()
+
+    def on_fence(self, link: _entry_link.EntryLink, fence: _wire.Fence) -> None:
+        """Raise epochs and report; a report at the same epoch comes after unsent results."""
+        for shard, epoch in fence.epochs.items():
+            seen = self._ledger.epoch_of(shard)
+            if epoch < seen:
+                link.send(self._ledger.stale_report(shard))
+                continue
+            if self._ledger.fence(shard, epoch, link.entry_id):
+                self._drop_lower_epochs(shard)
+            else:
+                self._send_items(link, self._ledger.take_unsent(shard))
+            for report in self._ledger.report(shard):
+                link.send(report)
+
+    def on_fetch(self, link: _entry_link.EntryLink, fetch: _wire.FetchResults) -> None:
+        """Send the finished results of a job again; an unknown job has none."""
+        items = self._ledger.results((fetch.buyer, fetch.job_id))
+        self._send_items(link, items)
+        if not items:
+            link.send(_wire.Results([], self.running, self.queued))
+
+    def on_cancel(self, link: _entry_link.EntryLink, cancel: _wire.Cancel) -> None:
+        """Drop queued tasks of jobs that the sender owns, and stop running ones if asked to."""
+        keys = {(buyer, job_id) for buyer, job_id in cancel.jobs}
+        owned = {key for key in keys if self._owner_of(key) == link.entry_id}
+        indices_by_key: dict[_work.Key, list[int]] = {key: [] for key in keys}
+        for queued in self._queue.remove(lambda queued: queued.key in owned):
+            self._ledger.withdraw(queued.key, queued.task.index)
+            indices_by_key[queued.key].append(queued.task.index)
+        link.send(_wire.Cancelled([[*key, found] for key, found in indices_by_key.items()]))
+        if cancel.stop_running:
+            self.stop_running(lambda queued: queued.key in owned, REASON_CANCELLED)
+
+    def on_recall(self, link: _entry_link.EntryLink, recall: _wire.Recall) -> None:
+        """Hand back the queued tasks of the sender's shards; Results follow in any case."""
+        owned = self._queue.remove(lambda queued: self._owner(queued) == link.entry_id)
+        self._return_all(owned, recall.reason or REASON_RECALLED)
+        if not owned:
+            link.send(_wire.Results([], self.running, self.queued))
+
+    def hand_back(self, reason: str) -> None:
+        """Return everything that is queued as not started."""
+        self._return_all(self._queue.remove(lambda _queued: True), reason)
+
+    def stop_running(
+        self, condition: Callable[[_task_queue.QueuedTask], bool], reason: str
+    ) -> None:
+        """Close the requests of running tasks that meet the condition; they count as lost."""
+        for queued, running in list(self._running.values()):
+            if condition(queued):
+                self._settle(queued, _runner.Lost(reason), 0)
+                running.cancel()
+        self._pump()
+
+    def _refuse(self, link, start: _wire.Start, reason: str, seen_epoch: int) -> None:
+        self._metrics.start_refused(reason)
+        indices = [item[0] for item in start.tasks if item]
+        link.send(
+            _wire.StartRefused(
+                start.shard, start.epoch, start.buyer, start.job_id, indices, reason, seen_epoch
+            )
+        )
+
+    def _enqueue(self, tasks: list[_task_queue.QueuedTask]) -> None:
+        for queued in tasks:
+            if self._queue.can_ever_fit(queued.task):
+                self._queue.push(queued)
+            else:
+                self._return_all([queued], REASON_TOO_LARGE)
+
+    def _pump(self) -> None:
+        while self._runner is not None:
+            queued = self._queue.next()
+            if queued is None:
+                return
+            self._begin(queued)
+
+    def _begin(self, queued: _task_queue.QueuedTask) -> None:
+        now = _clock.monotonic()
+        index = queued.task.index
+        if not self._ledger.mark_started(queued.key, index, queued.epoch, now):
+            self._queue.release(queued.task)
+            loguru.logger.error("queued task {} {} is not in the ledger", queued.key, index)
+            return
+        self._metrics.started(1)
+        running = asyncio.create_task(self._run(self._runner, queued))
+        self._running[queued.key, index] = (queued, running)
+        self._idle.clear()
+
+    async def _run(self, runner: _runner.Runner, queued: _task_queue.QueuedTask) -> None:
+        began = _clock.monotonic()
+        try:
+            outcome = await runner.run(queued)
+        except Exception as error:
+            # Whether the request was sent is unknown here.
+            loguru.logger.exception("runner adapter failed")
+            outcome = _runner.Lost(f"internal error: {type(error).__name__}")
+        self._settle(queued, outcome, round((_clock.monotonic() - began) * 1000))
+        self._pump()
+
+    def _settle(
+        self, queued: _task_queue.QueuedTask, outcome: _runner.Outcome, run_ms: int
+    ) -> None:
+        index = queued.task.index
+        running = self._running.get((queued.key, index))
+        if running is None or running[0] is not queued:
+            return  # It was stopped, and its outcome is recorded already.
+        del self._running[queued.key, index]
+        self._queue.release(queued.task)
+        if not self._running:
+            self._idle.set()
+        code, value = _as_wire(outcome)
+        self._metrics.finished(_OUTCOME_NAMES[code])
+        item = [*queued.key, index, code, value, run_ms]
+        if code == _wire.NOT_STARTED:
+            self._ledger.withdraw(queued.key, index)
+        else:
+            self._ledger.finish(item, _clock.monotonic())
+        self._deliver(queued.shard, item)
+
+    def _deliver(self, shard: int, item: list) -> None:
+        link = self._link_of(self._ledger.owner_of(shard))
+        if link is not None:
+            link.send(item)
+            return
+        self.keep_unsent([item])
+
+    def keep_unsent(self, items: list[list]) -> None:
+        """Keep results that no link took until their owner fences or fetches.
+
+        Items of tasks that did not start are dropped: the task may be accepted again
+        meanwhile, and the late item would then tell the owner to start it elsewhere.
+        """
+        for buyer, job_id, index, *_ in items:
+            self._ledger.mark_unsent((buyer, job_id), index)
+
+    def _drop_lower_epochs(self, shard: int) -> None:
+        # The ledger forgot these already; the fence report or a later start refers to them.
+        epoch = self._ledger.epoch_of(shard)
+        self._queue.remove(lambda queued: queued.shard == shard and queued.epoch < epoch)
+
+    def _return_all(self, removed: list[_task_queue.QueuedTask], reason: str) -> None:
+        for queued in removed:
+            self._ledger.withdraw(queued.key, queued.task.index)
+            self._metrics.finished(_OUTCOME_NAMES[_wire.NOT_STARTED])
+            item = [*queued.key, queued.task.index, _wire.NOT_STARTED, reason, 0]
+            self._deliver(queued.shard, item)
+
+    def _send_items(self, link: _entry_link.EntryLink, items: list[list]) -> None:
+        for item in items:
+            link.send(item)
+
+    def _owner(self, queued: _task_queue.QueuedTask) -> str:
+        return self._ledger.owner_of(queued.shard)
+
+    def _owner_of(self, key: _work.Key) -> str:
+        shard = self._ledger.shard_of(key)
+        return "" if shard is None else self._ledger.owner_of(shard)
+
+
+def _as_wire(outcome: _runner.Outcome) -> tuple[int, object]:
+    match outcome:
+        case _runner.Done(value=value):
+            return _wire.DONE, value
+        case _runner.Failed(error=error):
+            return _wire.FAILED, error
+        case _runner.NotStarted(reason=reason):
+            return _wire.NOT_STARTED, reason
+        case _runner.Lost(reason=reason):
+            return _wire.LOST, reason
+    raise TypeError(f"expected an outcome, found {type(outcome).__name__}")
--- /dev/null
+++ b/src/daisyfall/process/_lifecycle.py
@@ -0,0 +1,53 @@
+"""Life cycle of an agent: starting, ready, draining, stopped."""
+
+from collections.abc import Callable
+
+import loguru
+import transitions
+
+STARTING = "starting"
+READY = "ready"
+DRAINING = "draining"
+STOPPED = "stopped"
+
+_TRANSITIONS = [
+    {"trigger": "become_ready", "source": STARTING, "dest": READY},
+    {"trigger": "become_unready", "source": READY, "dest": STARTING},
+    {"trigger": "drain", "source": [STARTING, READY], "dest": DRAINING},
+    {"trigger": "finish_draining", "source": DRAINING, "dest": STOPPED},
+    {"trigger": "resume", "source": [DRAINING, STOPPED], "dest": STARTING},
+]
+
+
+class Lifecycle:
+    """State machine; `on_change` is called after each change of state."""
+
+    state: str
+
+    def __init__(self, agent_id: str, on_change: Callable[[], None]):
+        self._log = loguru.logger.bind(agent=agent_id)
+        self._on_change = on_change
+        self._machine = transitions.Machine(
+            self,
+            states=[STARTING, READY, DRAINING, STOPPED],
+            transitions=_TRANSITIONS,
+            initial=STARTING,
+            auto_transitions=False,
+            after_state_change="_report",
+        )
+
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether neither an operator nor a stop keeps work away."""
+        return self.state in (STARTING, READY)
+
+    def settle(self, *, is_open: bool) -> None:
+        """Become ready or unready, as far as the state allows it."""
+        if is_open and self.state == STARTING:
+            self.become_ready()
+        elif not is_open and self.state == READY:
+            self.become_unready()
+
+    def _report(self) -> None:
+        self._log.bind(state=self.state).info("agent is {}", self.state)
+        self._on_change()
--- /dev/null
+++ b/src/daisyfall/process/_runner.py
@@ -0,0 +1,181 @@
+"""Adapters to an upstream's runner; each runs one task at most once and never repeats it."""
+
+import asyncio
+import dataclasses
+import json
+from typing import Protocol
+
+import aiohttp
+import attrs
+
+from daisyfall.request import _task_queue
+
+# A frame holds several results, so one of them stays well below the size limit of a message.
+RESULT_LIMIT_BYTES = 4 * 1024 * 1024
+CONNECT_TIMEOUT_SECONDS = 1.0
+# Below the usual 5 s and 75 s of HTTP servers: a request that meets a connection just closed
+# by its server is cut off after it was sent, and counts as lost.
+KEEPALIVE_SECONDS = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """The task ran; `value` is its result."""
+
+    value: object
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """The task ran and failed."""
+
+    error: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotStarted:
+    """The task provably did not start."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """The task may have started and no result will come."""
+
+    reason: str
+
+
+Outcome = Done | Failed | NotStarted | Lost
+
+
+class Runner(Protocol):
+    """What an agent needs of a runner."""
+
+    async def run(self, queued: _task_queue.QueuedTask) -> Outcome:
+        """Run one task; cancelling the call gives up on a task that may have started."""
+
+    async def close(self) -> None:
+        """Release the connections when no task runs any more."""
+
+
+@attrs.frozen
+class HttpTarget:
+    """A runner reached by HTTP; `run_limit_seconds` bounds one task."""
+
+    url: str
+    connections: int
+    run_limit_seconds: float
+
+
+@attrs.frozen
+class NullTarget:
+    """A runner that answers at once, to measure the throughput of an entry."""
+
+
+def connect(target: HttpTarget | NullTarget) -> Runner:
+    """Return the adapter for a target."""
+    match target:
+        case HttpTarget():
+            return HttpRunner(target)
+        case NullTarget():
+            return NullRunner()
+    raise TypeError(f"expected a runner target, found {type(target).__name__}")
+
+
+class NullRunner:
+    """Adapter that answers at once without running anything."""
+
+    async def run(self, _queued: _task_queue.QueuedTask) -> Outcome:
+        """See `Runner.run`."""
+        return Done(None)
+
+    async def close(self) -> None:
+        """See `Runner.close`."""
+
+
+class HttpRunner:
+    """Adapter of the runner's HTTP protocol (`POST /v1/tasks`)."""
+
+    def __init__(self, target: HttpTarget):
+        self._url = f"{target.url.rstrip('/')}/v1/tasks"
+        connector = aiohttp.TCPConnector(
+            limit=target.connections, keepalive_timeout=KEEPALIVE_SECONDS
+        )
+        timeout = aiohttp.ClientTimeout(
+            total=target.run_limit_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
+        )
+        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def run(self, queued: _task_queue.QueuedTask) -> Outcome:
+        """See `Runner.run`."""
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            return await self._post(queued)
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
+    async def close(self) -> None:
+        """See `Runner.close`."""
+        await self._idle.wait()
+        await self._session.close()
+
+    async def _post(self, queued: _task_queue.QueuedTask) -> Outcome:
+        try:
+            # A redirect would send the task a second time, so it isn't followed.
+            async with self._session.post(
+                self._url, json=_request(queued), allow_redirects=False
+            ) as response:
+                return _judge(response.status, await _read(response))
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return NotStarted(f"no connection to the runner: {error}")
+        except TimeoutError:
+            return Lost("the runner did not answer within the time limit")
+        except (aiohttp.ClientError, OSError) as error:
+            return Lost(f"the request was cut off: {type(error).__name__} {error}")
+
+
+def _request(queued: _task_queue.QueuedTask) -> dict:
+    buyer, job_id = queued.key
+    task = queued.task
+    return {
+        "task_id": f"{buyer}/{job_id}/{task.index}",
+        "kind": task.kind,
+        "payload": task.payload,
+        "run_ms": task.run_ms,
+        "memory_mb": task.memory_mb,
+        "accelerators": task.accelerators,
+    }
+
+
+async def _read(response: aiohttp.ClientResponse) -> bytes | None:
+    """Return the body, None if it is larger than the limit."""
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > RESULT_LIMIT_BYTES:
+            return None
+    return bytes(body)
+
+
+def _judge(status: int, body: bytes | None) -> Outcome:
+    if body is None:
+        return Lost(f"the runner's answer is larger than {RESULT_LIMIT_BYTES} bytes")
+    try:
+        answer = json.loads(body)
+    except ValueError:
+        answer = None
+    match status, answer:
+        case 200, {"result": value}:
+            return Done(value)
+        case 422, {"error": error}:
+            return Failed(str(error))
+        case 503, {"started": False}:
+            return NotStarted(f"the runner refused: {answer.get('error', 'status 503')}")
+    return Lost(f"status {status} from the runner, expected 200, 422 or 503 with started false")
--- /dev/null
+++ b/src/daisyfall/request/_ledger.py
@@ -0,0 +1,310 @@
+"""An agent's record of what it accepted and started: the proof that a task starts at most once.
+
+The ledger holds state only; the clock reading is an argument and nothing is sent
+from here. A bitmap is an int whose bit `i` stands for task index `i`.
+
+A task of a job is unknown, queued (accepted, not started), started, or finished
+(started, with an outcome). Only a queued task, or one that the runner provably
+did not start, becomes unknown again.
+"""
+
+import collections
+import dataclasses
+import sys
+
+import attrs
+import cbor2
+
+from daisyfall import _wire
+from daisyfall.request import _work
+
+# Why a Start is refused, as in `StartRefused.reason`.
+WRONG_INCARNATION = "wrong_incarnation"
+STALE_EPOCH = "stale_epoch"
+DIGEST_CONFLICT = "digest_conflict"
+MALFORMED = "malformed"
+
+# Memory of one kept result besides its value: bytes object, tuple, dict slot and index.
+RESULT_OVERHEAD_BYTES = 200
+REPORT_JOBS = 500  # jobs in one FenceReport, so that a frame stays far below the size limit
+TASK_COUNT_LIMIT = 65_536  # bounds the bitmaps that a wrong message could ask for
+TASK_FIELDS = 6  # of a task item; later versions may add some at the end
+# A job is forgotten this long after the retention time, which covers clock differences.
+RETENTION_MARGIN_SECONDS = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """Task items to queue, and result items of tasks that had finished before."""
+
+    tasks: list
+    repeated: list
+    raised: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Nothing of the message is or will be started."""
+
+    reason: str
+    seen_epoch: int
+    raised: bool
+
+
+@attrs.define(slots=True, eq=False)
+class _Job:
+    shard: int
+    digest: bytes
+    task_count: int
+    touched_at: float
+    queued: int = 0
+    started: int = 0
+    finished: int = 0
+    unsent: int = 0
+    result_bytes: int = 0
+    result_by_index: dict | None = None  # index -> (outcome, CBOR of the value, run_ms)
+
+
+class Ledger:
+    """All jobs of the retention time, the highest epoch and the owner by shard."""
+
+    def __init__(self, incarnation: str, retention_seconds: float, result_limit_bytes: int):
+        self._incarnation = incarnation
+        self._keep_seconds = retention_seconds + RETENTION_MARGIN_SECONDS
+        self._result_limit_bytes = result_limit_bytes
+        self._epoch_by_shard: dict[int, int] = {}
+        self._owner_by_shard: dict[int, str] = {}
+        # Ordered dicts, since dropping the first key of a dict again and again is quadratic.
+        self._job_by_key: collections.OrderedDict[_work.Key, _Job] = collections.OrderedDict()
+        self._with_results: collections.OrderedDict[_work.Key, _Job] = collections.OrderedDict()
+        self._by_shard: dict[int, dict[_work.Key, _Job]] = collections.defaultdict(dict)
+        self.result_bytes = 0
+        self.evicted_results = 0
+        self.unsent_results = 0
+
+    def __len__(self) -> int:
+        return len(self._job_by_key)
+
+    def epoch_of(self, shard: int) -> int:
+        """Return the highest epoch seen of a shard, 0 if none was."""
+        return self._epoch_by_shard.get(shard, 0)
+
+    def owner_of(self, shard: int) -> str:
+        """Return the id of the entry that results of the shard go to, empty if unknown."""
+        return self._owner_by_shard.get(shard, "")
+
+    def shard_of(self, key: _work.Key) -> int | None:
+        """Return the shard of a remembered job."""
+        job = self._job_by_key.get(key)
+        return None if job is None else job.shard
+
+    def fence(self, shard: int, epoch: int, sender: str) -> bool:
+        """Refuse lower epochs from now on; tell whether the epoch was raised.
+
+        When it is raised, all tasks of the shard that are queued become unknown.
+        """
+        seen = self.epoch_of(shard)
+        if epoch < seen:
+            return False
+        self._owner_by_shard[shard] = sender
+        if epoch == seen:
+            return False
+        self._epoch_by_shard[shard] = epoch
+        for key, job in list(self._by_shard[shard].items()):
+            job.queued = 0
+            self._drop_if_unused(key, job)
+        return True
+
+    def accept(self, start: _wire.Start, sender: str, now: float, closed: str = "") -> object:
+        """Decide on a Start; `closed` is the reason why the agent takes no work at present."""
+        if start.incarnation != self._incarnation:
+            return Refused(WRONG_INCARNATION, self.epoch_of(start.shard), False)
+        if start.epoch < self.epoch_of(start.shard):
+            return Refused(STALE_EPOCH, self.epoch_of(start.shard), False)
+        raised = self.fence(start.shard, start.epoch, sender)
+        reason = closed or self._conflict(start)
+        if reason:
+            return Refused(reason, start.epoch, raised)
+        key = (sys.intern(start.buyer), start.job_id)
+        job = self._job_by_key.get(key)
+        if job is None:
+            job = self._add(key, start, now)
+        tasks, repeated = self._split(key, job, start.tasks)
+        self._touch(key, job, now)
+        return Accepted(tasks, repeated, raised)
+
+    def mark_started(self, key: _work.Key, index: int, epoch: int, now: float) -> bool:
+        """Record a start before it happens; False means that the task must not be started."""
+        job = self._job_by_key.get(key)
+        bit = 1 << index
+        if job is None or not job.queued & bit or epoch != self.epoch_of(job.shard):
+            return False
+        job.queued &= ~bit
+        job.started |= bit
+        self._touch(key, job, now)
+        return True
+
+    def withdraw(self, key: _work.Key, index: int) -> None:
+        """Forget a task that is queued, or that the runner provably did not start."""
+        job = self._job_by_key.get(key)
+        if job is None:
+            return
+        bit = 1 << index
+        job.queued &= ~bit
+        job.started &= ~bit | job.finished
+        self._drop_if_unused(key, job)
+
+    def finish(self, item: list, now: float) -> None:
+        """Record the result item of a started task and keep it within the byte limit."""
+        buyer, job_id, index, outcome, value, run_ms = item
+        key = (buyer, job_id)
+        job = self._job_by_key[key]
+        job.finished |= 1 << index
+        kept = cbor2.dumps(value)
+        if job.result_by_index is None:
+            job.result_by_index = {}
+            self._with_results[key] = job
+        job.result_by_index[index] = (outcome, kept, run_ms)
+        size = len(kept) + RESULT_OVERHEAD_BYTES
+        job.result_bytes += size
+        self.result_bytes += size
+        self._touch(key, job, now)
+        while self.result_bytes > self._result_limit_bytes:
+            self._evict_results(next(iter(self._with_results)))
+
+    def mark_unsent(self, key: _work.Key, index: int) -> None:
+        """Record that a result was not handed to any connection."""
+        job = self._job_by_key.get(key)
+        bit = 1 << index
+        if job is not None and job.finished & bit and not job.unsent & bit:
+            job.unsent |= bit
+            self.unsent_results += 1
+
+    def results(self, key: _work.Key) -> list[list]:
+        """Return the result items of all finished tasks of a job; they count as sent."""
+        job = self._job_by_key.get(key)
+        if job is None:
+            return []
+        self._mark_sent(job)
+        return [self._item(key, job, index) for index in _indices(job.finished)]
+
+    def take_unsent(self, shard: int) -> list[list]:
+        """Return the result items of a shard that no connection took; they count as sent."""
+        items = []
+        for key, job in self._by_shard[shard].items():
+            items += [self._item(key, job, index) for index in _indices(job.unsent)]
+            self._mark_sent(job)
+        return items
+
+    def report(self, shard: int) -> list[_wire.FenceReport]:
+        """Return the messages that report a shard; queued tasks of the epoch count as started."""
+        rows = []
+        for (buyer, job_id), job in self._by_shard[shard].items():
+            self._mark_sent(job)
+            started = job.queued | job.started
+            rows.append([buyer, job_id, job.digest, job.task_count, started, job.finished])
+        epoch = self.epoch_of(shard)
+        messages = []
+        for first in range(0, max(len(rows), 1), REPORT_JOBS):
+            part = rows[first : first + REPORT_JOBS]
+            last = first + REPORT_JOBS >= len(rows)
+            messages.append(_wire.FenceReport(shard, epoch, self._incarnation, part, last))
+        return messages
+
+    def stale_report(self, shard: int) -> _wire.FenceReport:
+        """Return the answer to a fence of a lower epoch: the highest seen one and no jobs."""
+        return _wire.FenceReport(shard, self.epoch_of(shard), self._incarnation, [], True)
+
+    def expire(self, now: float) -> int:
+        """Forget jobs without a start or an outcome for the keeping time; return how many."""
+        expired = 0
+        while self._job_by_key:
+            key, job = next(iter(self._job_by_key.items()))
+            if job.touched_at + self._keep_seconds > now:
+                break
+            if job.queued or job.started != job.finished:
+                self._touch(key, job, now)
+                continue
+            self._remove(key, job)
+            expired += 1
+        return expired
+
+    def _conflict(self, start: _wire.Start) -> str:
+        if not 0 < start.task_count <= TASK_COUNT_LIMIT:
+            return MALFORMED
+        if not all(_is_task_item(task, start.task_count) for task in start.tasks):
+            return MALFORMED
+        job = self._job_by_key.get((start.buyer, start.job_id))
+        if job is None:
+            return ""
+        known = (job.shard, job.digest, job.task_count)
+        return "" if known == (start.shard, start.digest, start.task_count) else DIGEST_CONFLICT
+
+    def _add(self, key: _work.Key, start: _wire.Start, now: float) -> _Job:
+        job = _Job(start.shard, start.digest, start.task_count, now)
+        self._job_by_key[key] = job
+        self._by_shard[start.shard][key] = job
+        return job
+
+    def _split(self, key: _work.Key, job: _Job, tasks: list) -> tuple[list, list]:
+        fresh, repeated = [], []
+        for task in tasks:
+            bit = 1 << task[0]
+            if job.finished & bit:
+                repeated.append(self._item(key, job, task[0]))
+            elif not (job.queued | job.started) & bit:
+                job.queued |= bit
+                fresh.append(task)
+        return fresh, repeated
+
+    def _item(self, key: _work.Key, job: _Job, index: int) -> list:
+        found = job.result_by_index and job.result_by_index.get(index)
+        if not found:
+            return [*key, index, _wire.EVICTED, None, 0]
+        outcome, kept, run_ms = found
+        return [*key, index, outcome, cbor2.loads(kept), run_ms]
+
+    def _touch(self, key: _work.Key, job: _Job, now: float) -> None:
+        job.touched_at = now
+        self._job_by_key.move_to_end(key)
+
+    def _mark_sent(self, job: _Job) -> None:
+        self.unsent_results -= job.unsent.bit_count()
+        job.unsent = 0
+
+    def _evict_results(self, key: _work.Key) -> None:
+        # All results of a job go together: an answer that lacks one of them fails anyway.
+        job = self._with_results.pop(key)
+        self.evicted_results += len(job.result_by_index)
+        self._release(job)
+
+    def _release(self, job: _Job) -> None:
+        self.result_bytes -= job.result_bytes
+        job.result_bytes = 0
+        job.result_by_index = None
+
+    def _drop_if_unused(self, key: _work.Key, job: _Job) -> None:
+        if not job.queued and not job.started:
+            self._remove(key, job)
+
+    def _remove(self, key: _work.Key, job: _Job) -> None:
+        self._mark_sent(job)
+        self._release(job)
+        self._with_results.pop(key, None)
+        del self._job_by_key[key]
+        del self._by_shard[job.shard][key]
+
+
+def _is_task_item(item: object, task_count: int) -> bool:
+    if not isinstance(item, list) or len(item) < TASK_FIELDS:
+        return False
+    return isinstance(item[0], int) and 0 <= item[0] < task_count
+
+
+def _indices(bitmap: int) -> list[int]:
+    found = []
+    while bitmap:
+        lowest = bitmap & -bitmap
+        found.append(lowest.bit_length() - 1)
+        bitmap ^= lowest
+    return found
