--- /dev/null
+++ b/src/daisyfall_standins/_shape.py
@@ -0,0 +1,138 @@
+"""Jobs of a load: a pure function of the shape and its seed."""
+
+import math
+import random
+
+import attrs
+
+
+@attrs.frozen
+class Buyer:
+    """One buyer and the secret of its bearer token."""
+
+    name: str
+    secret: str
+
+    @property
+    def token(self) -> str:
+        """Return the bearer token."""
+        return f"{self.name}.{self.secret}"
+
+
+@attrs.frozen
+class Shape:
+    """A load, bounded by `jobs` and by arrivals within `seconds`.
+
+    Run times are log-uniform in `run_ms`, but for `long_share` of the tasks in
+    `long_ms`. Declared run times are off by a log-uniform factor between
+    1/`declared_factor` and `declared_factor`. Jobs arrive in groups of `burst`
+    at once, the groups as a Poisson process.
+    """
+
+    buyers: list[Buyer]
+    jobs: int = 100
+    seconds: float = 10.0
+    jobs_per_second: float = 10.0
+    burst: int = 1
+    weight_by_tasks: dict[int, float] = attrs.Factory(lambda: {1: 0.2, 4: 0.4, 16: 0.3, 64: 0.1})
+    run_ms: tuple[float, float] = (50.0, 1000.0)
+    long_share: float = 0.02
+    long_ms: tuple[float, float] = (2000.0, 5000.0)
+    declared_factor: float = 1.0
+    deadline_ms: int = 60_000
+    slots: int = 88  # that one job may use
+    round_trip_ms: float = 1.0  # sum of the round trips of one job
+    kind: str = "load"
+    memory_mb: int = 0
+    seed: int = 0
+
+    @property
+    def mean_work_ms(self) -> float:
+        """Return the expected work of one job."""
+        weights = self.weight_by_tasks
+        tasks = sum(count * weight for count, weight in weights.items()) / sum(weights.values())
+        short = _log_uniform_mean(self.run_ms) * (1 - self.long_share)
+        return tasks * (short + _log_uniform_mean(self.long_ms) * self.long_share)
+
+    def at_load(self, load: float, slots: int) -> "Shape":
+        """Return the shape at a rate that keeps `load` (0 to 1) of the slots busy."""
+        if self.mean_work_ms == 0:
+            raise ValueError(f"run_ms {self.run_ms} has no work, so no rate gives load {load}")
+        return attrs.evolve(self, jobs_per_second=load * slots / self.mean_work_ms * 1000)
+
+
+@attrs.frozen
+class Task:
+    """One task; the token is the buyer's own identity of the work."""
+
+    token: str
+    run_ms: float
+    declared_ms: int
+
+    @property
+    def payload(self) -> dict:
+        """Return the payload, which a runner echoes as the result."""
+        return {"token": self.token, "run_ms": self.run_ms}
+
+
+@attrs.frozen
+class Job:
+    """One job and its arrival, in seconds since the start of the load."""
+
+    number: int
+    at_seconds: float
+    buyer: Buyer
+    tasks: list[Task]
+
+    def ideal_ms(self, slots: int, round_trip_ms: float) -> float:
+        """Return the larger of the longest task and the work by slots, plus the round trips."""
+        runs = [task.run_ms for task in self.tasks]
+        return max(*runs, sum(runs) / slots) + round_trip_ms
+
+    def body(self, job_id: str, shape: Shape) -> dict:
+        """Return the body of `POST /v1/jobs`."""
+        tasks = [
+            {
+                "kind": shape.kind,
+                "payload": task.payload,
+                "run_ms": task.declared_ms,
+                "memory_mb": shape.memory_mb,
+            }
+            for task in self.tasks
+        ]
+        return {"job_id": job_id, "deadline_ms": shape.deadline_ms, "tasks": tasks}
+
+
+def generate(shape: Shape, run_id: str) -> list[Job]:
+    """Return the jobs in order of arrival; `run_id` makes the tokens unique between runs."""
+    source = random.Random(shape.seed)
+    sizes, weights = zip(*shape.weight_by_tasks.items(), strict=True)
+    jobs: list[Job] = []
+    at = 0.0
+    while len(jobs) < shape.jobs:
+        at += source.expovariate(shape.jobs_per_second / shape.burst)
+        if at > shape.seconds:
+            break
+        for _ in range(min(shape.burst, shape.jobs - len(jobs))):
+            number = len(jobs)
+            size = source.choices(sizes, weights)[0]
+            tasks = [_new_task(shape, source, f"{run_id}/{number}/{i}") for i in range(size)]
+            jobs.append(Job(number, at, source.choice(shape.buyers), tasks))
+    return jobs
+
+
+def _new_task(shape: Shape, source: random.Random, token: str) -> Task:
+    bounds = shape.long_ms if source.random() < shape.long_share else shape.run_ms
+    run_ms = round(_log_uniform(source, bounds), 3)
+    factor = _log_uniform(source, (1 / shape.declared_factor, shape.declared_factor))
+    return Task(token, run_ms, max(1, round(run_ms * factor)))
+
+
+def _log_uniform(source: random.Random, bounds: tuple[float, float]) -> float:
+    low, high = bounds
+    return low if low == high else math.exp(source.uniform(math.log(low), math.log(high)))
+
+
+def _log_uniform_mean(bounds: tuple[float, float]) -> float:
+    low, high = bounds
+    return low if low == high else (high - low) / math.log(high / low)
--- /dev/null
+++ b/src/daisyfall_standins/load.py
@@ -0,0 +1,241 @@
+"""Load generator: submits the jobs of a shape to several entries over HTTP.
+
+Entries are used in turn, as a balancer does. A job whose connection breaks, or
+whose answer says that the same id may be sent again, is resubmitted through the
+next entry. Response times count from the planned arrival, so that a slow
+generator or entry does not hide its own delay.
+"""
+
+import asyncio
+import collections
+import enum
+import os
+import random
+
+import aiohttp
+import attrs
+from hdrh import histogram
+
+from daisyfall import _clock, _ids
+from daisyfall_standins import _shape
+
+Buyer = _shape.Buyer
+Shape = _shape.Shape
+
+_ATTEMPTS = 20
+_FIRST_BACKOFF_MS = 20.0
+_LAST_BACKOFF_MS = 1000.0
+# An attempt may take the job's deadline and this, so that a lost answer ends it.
+_ANSWER_MARGIN_MS = 3000.0
+_HIGHEST_TRACKED = 3_600_000_000  # one hour in µs
+
+
+class Outcome(enum.Enum):
+    """How a job ended for its caller."""
+
+    COMPLETE = "complete"
+    FAILED = "failed"  # may have run
+    REFUSED = "refused"  # not run
+    UNANSWERED = "unanswered"  # no answer within the limits
+    WRONG = "wrong"  # an answer that is incomplete or holds another task's result
+
+
+@attrs.define
+class Record:
+    """What the caller saw of one job; times in ms."""
+
+    job_id: str
+    buyer: str
+    tokens: list[str]
+    ideal_ms: float
+    response_ms: float = 0.0
+    lag_ms: float = 0.0  # delay of the first submission after the planned arrival
+    outcome: Outcome = Outcome.UNANSWERED
+    detail: str = ""
+    kinds: list[str] = attrs.Factory(list)  # error kind of each refused or failed attempt
+    broken: int = 0  # attempts without an answer
+    refused: int = 0  # attempts answered as not run
+    attempts: int = 0
+
+
+@attrs.frozen
+class Report:
+    """Figures of a load; ratios and times are over complete jobs."""
+
+    jobs: int
+    outcomes: dict[str, int]
+    tasks: int
+    resubmissions: int
+    broken_connections: int
+    refusals_by_kind: dict[str, int]
+    response_over_ideal_p50: float
+    response_over_ideal_p99: float
+    response_over_ideal_max: float
+    response_ms_p50: float
+    response_ms_p99: float
+    generator_lag_ms_p99: float
+
+
+@attrs.frozen
+class Audit:
+    """Comparison of the callers' records with the runners' counts of starts by token.
+
+    `started_though_not_run` is about jobs with no attempt but refused ones;
+    `started_before_refusal` about refused jobs with an earlier attempt of another end.
+    """
+
+    started: int
+    started_twice: list[str]
+    started_though_not_run: list[str]
+    started_before_refusal: list[str]
+    complete_without_start: list[str]
+
+
+class Generator:
+    """Submits jobs to entries; `entries` are base URLs."""
+
+    def __init__(self, shape: Shape, entries: list[str]):
+        self._shape = shape
+        self._entries = entries
+        self._turn = 0
+        self._random = random.Random(shape.seed)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def run(self) -> list[Record]:
+        """Submit all jobs at their times; return one record for each, in order of arrival."""
+        jobs = _shape.generate(self._shape, os.urandom(4).hex())
+        connector = aiohttp.TCPConnector(limit=0)
+        limit = aiohttp.ClientTimeout(total=(self._shape.deadline_ms + _ANSWER_MARGIN_MS) / 1000)
+        async with aiohttp.ClientSession(connector=connector, timeout=limit) as self._session:
+            started = _clock.monotonic()
+            return await asyncio.gather(*[self._run_job(job, started) for job in jobs])
+
+    async def _run_job(self, job: _shape.Job, started: float) -> Record:
+        planned = started + job.at_seconds
+        await asyncio.sleep(max(0.0, planned - _clock.monotonic()))
+        shape = self._shape
+        record = Record(
+            job_id=_ids.new_job_id(),
+            buyer=job.buyer.name,
+            tokens=[task.token for task in job.tasks],
+            ideal_ms=job.ideal_ms(shape.slots, shape.round_trip_ms),
+            lag_ms=max(0.0, _ms_since(planned)),
+        )
+        limit_ms = shape.deadline_ms + _ANSWER_MARGIN_MS
+        while record.attempts < _ATTEMPTS and _ms_since(planned) < limit_ms:
+            wait_ms = await self._attempt(job, record)
+            if wait_ms is None:
+                break
+            await asyncio.sleep(wait_ms / 1000)
+        record.response_ms = _ms_since(planned)
+        return record
+
+    async def _attempt(self, job: _shape.Job, record: Record) -> float | None:
+        """Submit once; return the wait before the next attempt, None if the job has ended."""
+        entry = self._entries[self._turn % len(self._entries)]
+        self._turn += 1
+        record.attempts += 1
+        headers = {"Authorization": f"Bearer {job.buyer.token}"}
+        body = job.body(record.job_id, self._shape)
+        try:
+            async with self._session.post(f"{entry}/v1/jobs", json=body, headers=headers) as reply:
+                answer = await reply.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            record.broken += 1
+            record.outcome, record.detail = Outcome.UNANSWERED, f"{type(error).__name__} {error}"
+            return self._backoff_ms(record.attempts)
+        return self._judge(job, record, answer)
+
+    def _judge(self, job: _shape.Job, record: Record, answer: dict) -> float | None:
+        error = answer.get("error")
+        if not error:
+            record.detail = find_fault(job, record.job_id, answer)
+            record.outcome = Outcome.WRONG if record.detail else Outcome.COMPLETE
+            return None
+        record.kinds.append(error["kind"])
+        not_run = error["run"] == "not run"
+        record.refused += not_run
+        record.outcome = Outcome.REFUSED if not_run else Outcome.FAILED
+        record.detail = f"{error['kind']}: {error['detail']}"
+        if error["retry"] != "same id":
+            return None
+        return max(error["retry_after_ms"], 0) + self._backoff_ms(record.attempts)
+
+    def _backoff_ms(self, attempts: int) -> float:
+        highest = min(_LAST_BACKOFF_MS, _FIRST_BACKOFF_MS * 2**attempts)
+        return self._random.uniform(highest / 2, highest)
+
+
+def find_fault(job: _shape.Job, job_id: str, answer: dict) -> str:
+    """Return why the answer is not the whole answer to this job, empty if it is."""
+    if answer.get("state") != "complete":
+        return f"state is {answer.get('state')!r} without an error, expected 'complete'"
+    if answer.get("job_id") != job_id:
+        return f"answer is for job {answer.get('job_id')!r}, expected {job_id!r}"
+    results = answer.get("results", [])
+    if len(results) != len(job.tasks):
+        return f"{len(results)} results, expected {len(job.tasks)}"
+    for index, (task, result) in enumerate(zip(job.tasks, results, strict=True)):
+        if result != task.payload:
+            return f"result {index} is {result!r}, expected {task.payload!r}"
+    return ""
+
+
+def summarize(records: list[Record]) -> Report:
+    """Return the figures of the records."""
+    complete = [record for record in records if record.outcome is Outcome.COMPLETE]
+    ratios = _histogram([record.response_ms / record.ideal_ms for record in complete])
+    times = _histogram([record.response_ms for record in complete])
+    lags = _histogram([record.lag_ms for record in records])
+    kinds = collections.Counter(kind for record in records for kind in record.kinds)
+    outcomes = collections.Counter(record.outcome.value for record in records)
+    return Report(
+        jobs=len(records),
+        outcomes={each.value: outcomes[each.value] for each in Outcome},
+        tasks=sum(len(record.tokens) for record in records),
+        resubmissions=sum(max(0, record.attempts - 1) for record in records),
+        broken_connections=sum(record.broken for record in records),
+        refusals_by_kind=dict(kinds),
+        response_over_ideal_p50=_percentile(ratios, 50),
+        response_over_ideal_p99=_percentile(ratios, 99),
+        response_over_ideal_max=_percentile(ratios, 100),
+        response_ms_p50=_percentile(times, 50),
+        response_ms_p99=_percentile(times, 99),
+        generator_lag_ms_p99=_percentile(lags, 99),
+    )
+
+
+def audit(records: list[Record], starts_by_token: dict[str, int]) -> Audit:
+    """Compare the records with the starts that all runners together counted."""
+    twice = [token for token, count in starts_by_token.items() if count > 1]
+    refused = [record for record in records if record.outcome is Outcome.REFUSED]
+    only_refused = _tokens([each for each in refused if each.refused == each.attempts])
+    other_refused = _tokens([each for each in refused if each.refused < each.attempts])
+    complete = _tokens([each for each in records if each.outcome is Outcome.COMPLETE])
+    return Audit(
+        started=sum(starts_by_token.values()),
+        started_twice=twice,
+        started_though_not_run=[token for token in only_refused if token in starts_by_token],
+        started_before_refusal=[token for token in other_refused if token in starts_by_token],
+        complete_without_start=[token for token in complete if token not in starts_by_token],
+    )
+
+
+def _tokens(records: list[Record]) -> list[str]:
+    return [token for each in records for token in each.tokens]
+
+
+def _histogram(values: list[float]) -> histogram.HdrHistogram:
+    # The histogram holds integers, so values are kept in thousandths.
+    recorder = histogram.HdrHistogram(1, _HIGHEST_TRACKED, 3)
+    for value in values:
+        recorder.record_value(max(1, round(value * 1000)))
+    return recorder
+
+
+def _percentile(recorder: histogram.HdrHistogram, percent: float) -> float:
+    return recorder.get_value_at_percentile(percent) / 1000
+
+
+def _ms_since(moment: float) -> float:
+    return (_clock.monotonic() - moment) * 1000
--- a/src/daisyfall_standins/runner.py
+++ b/src/daisyfall_standins/runner.py
@@ -2,8 +2,11 @@
 
 It runs a task by sleeping `payload["run_ms"]` and returns the payload as the
 result. It counts every start by task id: only the runner sees a task that was
-started twice. The runner protocol has no cancel request, so a task stops and
-frees its slot when the connection of its request is closed.
+started twice. It also counts by `payload["token"]`, the buyer's own identity of
+the work, which stays the same if a dispatcher makes up a new task id.
+
+The runner protocol has no cancel request, so a task stops and frees its slot when
+the connection of its request is closed.
 """
 
 import asyncio
@@ -69,13 +72,16 @@
 
     def __init__(self):
         self.count_by_id: collections.Counter[str] = collections.Counter()
+        self.count_by_token: collections.Counter[str] = collections.Counter()
         self.running = 0
         self.most_running = 0
         self.refused = 0
 
-    def begin(self, task_id: str) -> None:
+    def begin(self, task: "TaskRequest") -> None:
         """Count one start."""
-        self.count_by_id[task_id] += 1
+        self.count_by_id[task.task_id] += 1
+        if isinstance(task.payload, dict) and "token" in task.payload:
+            self.count_by_token[str(task.payload["token"])] += 1
         self.running += 1
         self.most_running = max(self.most_running, self.running)
 
@@ -88,7 +94,9 @@
             "most_running": self.most_running,
             "refused": self.refused,
         }
-        return body | ({"count_by_id": self.count_by_id} if with_ids else {})
+        if with_ids:
+            body |= {"count_by_id": self.count_by_id, "count_by_token": self.count_by_token}
+        return body
 
 
 class Runner:
@@ -163,7 +171,7 @@
         self._requests += 1
         try:
             async with self._slots:
-                self.starts.begin(task.task_id)
+                self.starts.begin(task)
                 try:
                     return await self._execute(request, task, affected=affected)
                 finally:
