Split the registry into membership, agent rows and ownership

Change: the own row, the lease and promises move to _membership.py, the rows of agents to _agent_rows.py.

--- a/src/daisyfall/process/_entry.py
+++ b/src/daisyfall/process/_entry.py
@@ -18,6 +18,7 @@
 )
 from daisyfall.process import (
     _health_api,
+    _membership,
     _metrics,
     _objects,
     _ownership,
@@ -53,7 +54,7 @@
         self.objects = _objects.HttpObjects(
             table.objects_url, table.objects_timeout_ms / 1000, settings.id
         )
-        identity = _registry.Identity(
+        identity = _membership.Identity(
             settings.id,
             self.incarnation,
             settings.peer.advertised,
@@ -286,7 +287,7 @@
     async def _list_agent(self, session: _agent_session.AgentSession) -> None:
         while not session.closed and not session.listed:
             try:
-                await self.registry.list_agent(session.agent_id, session.incarnation)
+                await self.registry.agent_rows.list(session.agent_id, session.incarnation)
                 session.send(_wire.Listed(session.incarnation))
                 return
             except (_table.TableError, _table.ConflictError):
@@ -332,7 +333,7 @@
         await self._stop()
         for task in [*registry, *others, *self._link_task_by_id.values()]:
             task.cancel()
-        await self.registry.leave()
+        await self.registry.membership.leave()
         server.close()
         await runner.cleanup()
         await self.table.close()
--- a/src/daisyfall/process/_registry.py
+++ b/src/daisyfall/process/_registry.py
@@ -12,8 +12,8 @@
 import attrs
 from loguru import logger
 
-from daisyfall import _clock, _ids
-from daisyfall.process import _ownership, _settings, _table
+from daisyfall import _clock
+from daisyfall.process import _agent_rows, _membership, _ownership, _settings, _table
 
 # Share of the lease that may pass without a renewal before peers are asked.
 PROMISE_SHARE = 0.5
@@ -27,17 +27,6 @@
 ]
 
 
-@attrs.frozen
-class Identity:
-    """Who this process is."""
-
-    id: str
-    incarnation: str
-    address: str
-    http_address: str
-    data_centre: str
-
-
 class RegistryEvents:
     """What the registry tells the rest of the entry; the entry overrides these."""
 
@@ -71,38 +60,22 @@
 
     def __init__(
         self,
-        identity: Identity,
+        identity: _membership.Identity,
         table: _table.Table,
         settings: _settings.Settings,
         events: RegistryEvents,
     ):
-        lease = settings.lease
-        self._identity = identity
         self._table = table
         self._settings = settings
         self._events = events
         self.calls: PeerCalls | None = None
-        seconds, margin = lease.lease_ms / 1000, lease.margin_ms / 1000
-        self.lease = _ownership.Lease(seconds, margin)
-        self.view = _ownership.View(seconds, margin)
-        self.promises = _ownership.Promises(seconds, margin)
+        self.membership = _membership.Membership(identity, table, settings.lease)
+        self.lease = self.membership.lease
+        self.view = self.membership.view
+        self.promises = self.membership.promises
+        self.agent_rows = _agent_rows.AgentRows(table, settings.jobs)
         self.holding_by_shard: dict[int, _ownership.Holding] = {}
         self.table_reachable = False
-        self._extension = _ownership.PromisedExtension(self.lease)
-        self._record = _ownership.EntryRecord(
-            identity.id,
-            identity.incarnation,
-            0,
-            identity.address,
-            identity.http_address,
-            identity.data_centre,
-            _ownership.ACTIVE,
-        )
-        self._row_version = 0
-        self._registered = False
-        # Peers named in any renewal that may have reached the table.
-        self._promise_peers: set[Holder] = set()
-        self._renewal_sent_at = float("-inf")
         self._poke = asyncio.Event()
         self._activations: set[asyncio.Task] = set()
 
@@ -122,12 +95,12 @@
     @property
     def holder(self) -> Holder:
         """Return this entry's id and the incarnation under which it owns shards."""
-        return (self._record.id, self._record.incarnation)
+        return self.membership.holder
 
     @property
     def record(self) -> _ownership.EntryRecord:
         """Return this entry's row as last written."""
-        return self._record
+        return self.membership.record
 
     # Loops.
 
@@ -153,84 +126,36 @@
                 self._check_lapse()
                 continue
             if self.lease.remaining(now) < self.lease.duration * PROMISE_SHARE:
-                await self._ask_for_promises(now)
-
-    async def _ask_for_promises(self, sent_at: float) -> None:
-        peers = sorted(self._promise_peers)
-        holder = self.holder
-        calls = [self.calls.promise(peer, holder, self.lease.duration) for peer in peers]
-        granted = dict(zip(peers, await asyncio.gather(*calls), strict=True))
-        self._extension.apply(granted, set(peers), sent_at, _clock.monotonic())
+                await self.membership.ask_for_promises(self.calls.promise, now)
 
     def _check_lapse(self) -> None:
-        if not self._registered or not self.holding_by_shard:
+        if not self.membership.registered or not self.holding_by_shard:
             return
         logger.bind(shards=len(self.holding_by_shard)).warning("lease lapsed, shards given up")
         self._lose(list(self.holding_by_shard))
 
     async def _tick(self) -> None:
         try:
-            await self._renew()
+            await self.membership.renew()
             await self._poll()
         except _table.ConflictError:
             await self._resolve_conflict()
+            return
         except _table.TableError as error:
             self._set_reachable(False, str(error))
             return
         self._set_reachable(True, "")
 
-    async def _renew(self) -> None:
-        known = {
-            (entry.id, entry.incarnation)
-            for entry in self.view.entry_by_id.values()
-            if entry.id != self._identity.id
-        }
-        record = attrs.evolve(
-            self._record, sequence=self._record.sequence + 1, peers=tuple(sorted(known))
-        )
-        self._promise_peers |= known
-        self._renewal_sent_at = _clock.monotonic()
-        self._record = record
-        key = _ownership.ENTRY_PREFIX + record.id
-        versions = await self._table.transact(
-            [_table.Check(key, self._row_version)], [_table.Write(key, record.as_value())]
-        )
-        self._row_version = versions[key]
-        self._registered = True
-        self._promise_peers = known
-        self.lease.extend(self._renewal_sent_at)
-
     async def _resolve_conflict(self) -> None:
-        """Read the own row after a failed or doubtful renewal."""
-        key = _ownership.ENTRY_PREFIX + self._identity.id
         try:
-            row = (await self._table.read([key], [])).get(key, _table.ABSENT)
+            kept = await self.membership.resolve_conflict()
         except _table.TableError as error:
             self._set_reachable(False, str(error))
             return
-        self._row_version = row.version
-        found = _ownership.entry_record(row.value, row.version) if row.version else None
-        if found is None or found.incarnation != self._record.incarnation:
-            if self._registered:
-                self._become_new_incarnation("the row was deleted or belongs to another process")
-        elif found.state == _ownership.FENCED:
-            self._become_new_incarnation("another entry took over")
-        elif found.sequence == self._record.sequence:
-            # The last renewal took effect and only its reply was lost.
-            self._registered = True
-            self.lease.extend(self._renewal_sent_at)
-        if found is not None:
-            former = found.succeeded_by(self._record.incarnation)
-            self._record = attrs.evolve(self._record, former=former)
-
-    def _become_new_incarnation(self, reason: str) -> None:
-        # Other entries may still be taking shards of the fenced incarnation one by one,
-        # so that incarnation must never hold a lease again.
-        logger.bind(reason=reason).warning("entry was fenced, shards given up")
-        self.lease.drop()
-        self._registered = False
-        self._record = attrs.evolve(self._record, incarnation=_ids.new_incarnation())
-        self._lose(list(self.holding_by_shard))
+        if not kept:
+            self._lose(list(self.holding_by_shard))
+        # The renewal that failed is made up for at once.
+        self._poke.set()
 
     async def _poll(self) -> None:
         rows = await self._table.read(SNAPSHOT_KEYS, SNAPSHOT_PREFIXES)
@@ -269,7 +194,7 @@
                 lost.append(shard)
         if lost:
             self._lose(lost)
-        if taken and self._record.state == _ownership.ACTIVE:
+        if taken and self.record.state == _ownership.ACTIVE:
             self._activate(taken)
 
     def _lose(self, shards: list[int]) -> None:
@@ -313,19 +238,19 @@
     async def _read_listed_with_patience(self) -> set[Holder]:
         while True:
             try:
-                return await self.read_listed()
+                return await self.agent_rows.read()
             except _table.TableError as error:
                 self._set_reachable(False, str(error))
                 await asyncio.sleep(self._settings.lease.poll_ms / 1000)
 
     async def _acquire(self, now: float) -> None:
-        if self._record.state != _ownership.ACTIVE or not self.lease.valid(now):
+        if self.record.state != _ownership.ACTIVE or not self.lease.valid(now):
             return
         plan = _ownership.plan_acquisitions(
             self.view,
             self._settings.jobs.shard_count,
-            self._record.id,
-            self._record.incarnation,
+            self.record.id,
+            self.record.incarnation,
             now,
         )
         easy = [each for each in plan if not each.forced]
@@ -368,7 +293,7 @@
     async def _take_after_fence(
         self, shards: list[_ownership.Acquire], previous: _ownership.EntryRecord | None
     ) -> None:
-        listed = await self.read_listed()
+        listed = await self.agent_rows.read()
         epochs = {each.shard: each.epoch for each in shards}
         missing = await self.calls.fence(epochs, listed)
         free = [each for each in shards if not missing[each.shard]]
@@ -386,8 +311,8 @@
             record = _ownership.ShardRecord(
                 each.shard,
                 each.epoch,
-                self._record.id,
-                self._record.incarnation,
+                self.record.id,
+                self.record.incarnation,
                 _clock.wall_ms(),
             )
             checks.append(_table.Check(key, each.row_version))
@@ -405,10 +330,10 @@
         self._poke.set()
 
     async def _rebalance(self, now: float) -> None:
-        if self._record.state != _ownership.ACTIVE or not self.lease.valid(now):
+        if self.record.state != _ownership.ACTIVE or not self.lease.valid(now):
             return
         held = [shard for shard, each in self.holding_by_shard.items() if each.active]
-        plan = _ownership.plan_handovers(self.view, held, self._identity.id, now)
+        plan = _ownership.plan_handovers(self.view, held, self.record.id, now)
         if plan:
             await self.release([each.shard for each in plan])
 
@@ -442,7 +367,7 @@
             await self._take(plan, None)
 
     async def _remove_silent(self, now: float) -> None:
-        for entry in _ownership.plan_removals(self.view, self._record.id, now):
+        for entry in _ownership.plan_removals(self.view, self.record.id, now):
             key = _ownership.ENTRY_PREFIX + entry.id
             logger.bind(entry=entry.id).info("silent entry removed from the roster")
             with contextlib.suppress(_table.ConflictError):
@@ -452,50 +377,10 @@
 
     async def stop_owning(self) -> None:
         """Leave the roster as an owner and release every shard; the lease goes on."""
-        self._record = attrs.evolve(self._record, state=_ownership.STOPPING)
+        self.membership.record = attrs.evolve(self.record, state=_ownership.STOPPING)
         if self.holding_by_shard:
             await self.release(list(self.holding_by_shard))
 
-    async def leave(self) -> None:
-        """Delete the own row; peers stop relying on this entry's promises."""
-        key = _ownership.ENTRY_PREFIX + self._identity.id
-        try:
-            await self._table.transact(
-                [_table.Check(key, self._row_version)], [_table.Write(key, None)]
-            )
-        except (_table.TableError, _table.ConflictError) as error:
-            logger.bind(reason=str(error)).warning("row of this entry stays in the table")
-
-    # Agents.
-
-    async def read_listed(self) -> set[tuple[str, str]]:
-        """Return every listed (agent, incarnation) that may hold starts."""
-        rows = await self._table.read([], [_ownership.AGENT_PREFIX])
-        records = [_ownership.agent_record(row.value, row.version) for row in rows.values()]
-        return _ownership.listed_incarnations(records, _clock.wall_ms(), self._keep_agents_ms)
-
-    @property
-    def _keep_agents_ms(self) -> int:
-        jobs = self._settings.jobs
-        return jobs.retention_ms + jobs.clock_skew_ms + jobs.clock_tolerance_ms + 60_000
-
-    async def list_agent(self, agent_id: str, incarnation: str) -> None:
-        """Write the agent's incarnation into its row before its first use (rule 2).
-
-        Raises `TableError` or `ConflictError`; the caller tries again.
-        """
-        key = _ownership.AGENT_PREFIX + agent_id
-        row = (await self._table.read([key], [])).get(key, _table.ABSENT)
-        record = _ownership.AgentRecord(agent_id, "")
-        if row.version:
-            record = _ownership.agent_record(row.value, row.version)
-        if record.incarnation == incarnation:
-            return
-        listed = record.superseded_by(incarnation, _clock.wall_ms(), self._keep_agents_ms)
-        await self._table.transact(
-            [_table.Check(key, row.version)], [_table.Write(key, listed.as_value())]
-        )
-
     def _set_reachable(self, reachable: bool, reason: str) -> None:
         if reachable == self.table_reachable:
             return
