Move the links between entries out of the entry's composition root

Change: _peers.py; the outbox checks silence on each turn and sends heartbeats at their time. Conclusion: a peer that stops answering under load is dropped at the limit.

--- a/src/daisyfall/_wire.py
+++ b/src/daisyfall/_wire.py
@@ -265,10 +265,11 @@
 
 @_message(35)
 class Ping:
-    """Heartbeat between entries; the answer is a `Reply`."""
+    """Heartbeat between entries; the answer is a `Reply` with the peer's lists version."""
 
     request: int
     lists_version: int
+    shards_released: bool = False
 
 
 def encode(message: Any) -> bytes:
--- a/src/daisyfall/connection/_outbox.py
+++ b/src/daisyfall/connection/_outbox.py
@@ -1,6 +1,7 @@
 """Outgoing side of a websocket: a queue that synchronous code can fill, and the heartbeat."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -44,14 +45,17 @@
         self, socket, heartbeat: Callable[[], Any], interval: float, limit: float
     ) -> None:
         """Send messages and heartbeats until the connection ends or is silent for `limit` s."""
+        beat_at = _clock.monotonic() + interval
         while not self._closed:
-            try:
-                await asyncio.wait_for(self._ready.wait(), interval)
-            except TimeoutError:
-                if _clock.monotonic() - self.last_heard > limit:
-                    await socket.close(1011, f"silent for more than {limit} s")
-                    return
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._ready.wait(), max(0.0, beat_at - _clock.monotonic()))
+            now = _clock.monotonic()
+            if now - self.last_heard > limit:
+                await socket.close(1011, f"silent for more than {limit} s")
+                return
+            if now >= beat_at:
                 self._messages.append(heartbeat())
+                beat_at = now + interval
             self._ready.clear()
             messages, self._messages = self._messages, []
             try:
--- a/src/daisyfall/process/_entry.py
+++ b/src/daisyfall/process/_entry.py
@@ -13,7 +13,6 @@
     _agent_session,
     _fencer,
     _handshake,
-    _peer_link,
     _peer_session,
 )
 from daisyfall.process import (
@@ -22,6 +21,7 @@
     _metrics,
     _objects,
     _ownership,
+    _peers,
     _registry,
     _settings,
     _table,
@@ -33,11 +33,9 @@
     _dispatcher,
     _operator_api,
     _owner,
-    _submission,
 )
 from daisyfall.version import _lists, _publisher
 
-PEER_CALL_SECONDS = 0.5
 STOP_LIMIT_SECONDS = 60.0
 HANDOVER_POLL_SECONDS = 0.05
 
@@ -71,12 +69,11 @@
         )
         self.fencer = _fencer.Fencer(self.delivery, settings)
         self.publisher = _publisher.Publisher(self.table, self.objects, self._use_lists)
-        self.link_by_id: dict[str, _peer_link.PeerLink] = {}
-        self._link_task_by_id: dict[str, asyncio.Task] = {}
-        self.peer_versions: dict[str, int] = {}
+        self.peers = _peers.Peers(settings, self.registry, self.publisher, self._spawn)
         self.carrier = _carrier.Carrier(
-            settings, self.registry, self.owner, self.link_by_id, self.metrics
+            settings, self.registry, self.owner, self.peers.link_by_id, self.metrics
         )
+        self.peers.carrier = self.carrier
         self.api = _api.Api(settings, self.publisher, self.carrier, self.metrics)
         self.operator_api = _operator_api.OperatorApi(
             settings,
@@ -85,10 +82,12 @@
             publisher=self.publisher,
             delivery=self.delivery,
             metrics=self.metrics,
-            peer_versions=self.peer_versions,
+            peer_versions=self.peers.version_by_id,
         )
         self.delivery.wish_of = self.operator_api.wish_of
-        self.registry.calls = _registry.PeerCalls(self._promise, self._query, self.fencer.fence)
+        self.registry.calls = _registry.PeerCalls(
+            self.peers.promise, self.peers.query, self.fencer.fence
+        )
         self._tasks: set[asyncio.Task] = set()
         self._listing: set[str] = set()
 
@@ -109,7 +108,7 @@
                 session.send(self._roster(session))
                 self.delivery.update_upstream(session)
             self.delivery.pump_soon()
-        self._follow_peers()
+        self.peers.follow()
 
     def on_lost(self, shards: list[int]) -> None:
         """Give up the jobs of lost shards."""
@@ -135,128 +134,6 @@
             session.send(self._roster(session))
         self.delivery.pump_soon()
 
-    # Peers.
-
-    def _follow_peers(self) -> None:
-        me = self.settings.id
-        wanted = {e.id: e.address for e in self.registry.view.entry_by_id.values() if e.id != me}
-        for peer_id in [p for p in self.link_by_id if p not in wanted]:
-            self._link_task_by_id.pop(peer_id).cancel()
-            del self.link_by_id[peer_id]
-            self.peer_versions.pop(peer_id, None)
-        for peer_id, address in wanted.items():
-            link = self.link_by_id.get(peer_id)
-            if link is not None and link.address == address:
-                continue
-            if link is not None:
-                self._link_task_by_id.pop(peer_id).cancel()
-            self._dial(peer_id, address)
-
-    def _dial(self, peer_id: str, address: str) -> None:
-        hello = _wire.Hello(
-            _wire.ROLE_ENTRY,
-            self.settings.id,
-            self.incarnation,
-            _wire.MAX_VERSION,
-            b"",
-            self.settings.data_centre,
-            self.settings.peer.advertised,
-        )
-        key = self.settings.keys[0]
-        link = _peer_link.PeerLink(peer_id, address, key, hello, self._take_pong)
-        lease = self.settings.lease
-        self.link_by_id[peer_id] = link
-        self._link_task_by_id[peer_id] = asyncio.create_task(
-            link.run(
-                lambda number: _wire.Ping(number, self.publisher.version),
-                lease.heartbeat_ms / 1000,
-                lease.heartbeat_limit_ms / 1000,
-            )
-        )
-
-    def _take_pong(self, peer_id: str, reply: _wire.Reply) -> None:
-        if not isinstance(reply.body, int):
-            return
-        self.peer_versions[peer_id] = reply.body
-        if reply.body > self.publisher.version:
-            self._spawn(self._fetch_lists(peer_id))
-
-    async def _fetch_lists(self, peer_id: str) -> None:
-        """Take a newer version from a peer; an entry cut off from the table needs this."""
-        link = self.link_by_id.get(peer_id)
-        if link is None:
-            return
-        try:
-            found = await link.call(
-                lambda number: _wire.Lookup(number, "lists", "", ""), PEER_CALL_SECONDS
-            )
-        except (_peer_link.LinkLostError, _peer_link.NotConnectedError):
-            return
-        if found:
-            self.publisher.adopt(found["head"], found["document"])
-
-    async def _promise(
-        self, peer: _ownership.Holder, holder: _ownership.Holder, seconds: float
-    ) -> bool:
-        link = self.link_by_id.get(peer[0])
-        if link is None:
-            return False
-        try:
-            return await link.call(
-                lambda number: _wire.PromiseRequest(
-                    number, holder[0], holder[1], int(seconds * 1000), peer[1]
-                ),
-                PEER_CALL_SECONDS,
-            )
-        except (_peer_link.LinkLostError, _peer_link.NotConnectedError, errors.DispatchError):
-            return False
-
-    async def _query(self, peer: _ownership.Holder, holder: _ownership.Holder) -> float | None:
-        link = self.link_by_id.get(peer[0])
-        if link is None:
-            return None
-        try:
-            return await link.call(
-                lambda number: _wire.PromiseQuery(number, holder[0], holder[1], peer[1]),
-                PEER_CALL_SECONDS,
-            )
-        except (_peer_link.LinkLostError, _peer_link.NotConnectedError, errors.DispatchError):
-            return None
-
-    async def handle_peer(self, request):
-        """Answer one request of another entry."""
-        now = _clock.monotonic()
-        match request:
-            case _wire.Ping():
-                return self.publisher.version
-            case _wire.Submit():
-                submission = _submission.from_wire(
-                    request.buyer, request.job_id, request.deadline_left_ms, request.tasks
-                )
-                return await self.carrier.settle_here(submission, request.wait)
-            case _wire.Lookup(operation="lists"):
-                return self.publisher.as_document()
-            case _wire.Lookup():
-                return await self.carrier.lookup_here(
-                    request.operation, request.buyer, request.job_id, request.wait_ms
-                )
-            case _wire.PromiseRequest():
-                self._check_incarnation(request.peer_incarnation)
-                holder = (request.owner_id, request.owner_incarnation)
-                return self.registry.promises.grant(holder, request.duration_ms / 1000, now)
-            case _wire.PromiseQuery():
-                self._check_incarnation(request.peer_incarnation)
-                holder = (request.owner_id, request.owner_incarnation)
-                return self.registry.promises.query(holder, now)
-        raise errors.DispatchError(errors.Kind.PROTOCOL, type(request).__name__)
-
-    def _check_incarnation(self, expected: str) -> None:
-        found = self.registry.holder[1]
-        if found != expected:
-            raise errors.DispatchError(
-                errors.Kind.PROTOCOL, f"this is incarnation {found}, not {expected}"
-            )
-
     # Accepted connections.
 
     async def serve_socket(self, socket) -> None:
@@ -270,7 +147,7 @@
             logger.bind(reason=str(error)).warning("connection refused")
             return
         if hello.role == _wire.ROLE_ENTRY:
-            await _peer_session.serve(socket, self.handle_peer)
+            await _peer_session.serve(socket, self.peers.handle)
             return
         session = _agent_session.AgentSession(hello, socket)
         if not session.listed:
@@ -331,8 +208,9 @@
         logger.bind(http=self.settings.http.advertised, peer=peer.advertised).info("entry started")
         await stop.wait()
         await self._stop()
-        for task in [*registry, *others, *self._link_task_by_id.values()]:
+        for task in [*registry, *others]:
             task.cancel()
+        self.peers.close()
         await self.registry.membership.leave()
         server.close()
         await runner.cleanup()
@@ -371,7 +249,7 @@
         if self.registry.table_reachable:
             try:
                 await self.registry.stop_owning()
-                self._ping_peers()
+                self.peers.ping_all()
             except _table.TableError as error:
                 logger.bind(reason=str(error)).warning("shards could not be released")
         while _clock.monotonic() < deadline:
@@ -380,18 +258,6 @@
             await asyncio.sleep(HANDOVER_POLL_SECONDS)
         logger.bind(open=self.api.open_requests).warning("stop limit reached with open requests")
 
-    def _ping_peers(self) -> None:
-        for link in self.link_by_id.values():
-            self._spawn(self._ping(link))
-
-    async def _ping(self, link: _peer_link.PeerLink) -> None:
-        try:
-            await link.call(
-                lambda number: _wire.Ping(number, self.publisher.version), PEER_CALL_SECONDS
-            )
-        except (_peer_link.LinkLostError, _peer_link.NotConnectedError):
-            return
-
     def unready(self) -> str:
         """Return why the entry should get no requests, empty if it is ready."""
         if self.api.stopping:
@@ -417,7 +283,7 @@
                 s for s, each in self.registry.holding_by_shard.items() if each.active
             ),
             "agents": sorted(self.delivery.session_by_id),
-            "peers": sorted(p for p, link in self.link_by_id.items() if link.connected),
+            "peers": sorted(p for p, link in self.peers.link_by_id.items() if link.connected),
             "jobs": len(self.owner.jobs.job_by_key),
             "records": len(self.owner.jobs.record_by_key),
             "open_requests": self.api.open_requests,
