--- a/src/daisyfall/_command_line.py
+++ b/src/daisyfall/_command_line.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import difflib
+import functools
 import inspect
 import io
 import re
@@ -15,6 +16,7 @@
 
 import fire
 import fire.core
+import fire.decorators
 
 USAGE_ERROR = 2
 _HELP = ("-h", "--help", "help")
@@ -24,6 +26,10 @@
     """The command line is wrong; the text is one line."""
 
 
+class InputError(UsageError):
+    """A file or a variable that the command line names is wrong; the text is one line."""
+
+
 class Command:
     """A command with its arguments, not run yet."""
 
@@ -36,17 +42,50 @@
         return self._call()
 
 
+def command(call: Callable[..., int]) -> Callable[..., Command]:
+    """Decorate a function that returns an exit status: a call returns it as a `Command`.
+
+    Positional arguments and options without a typed default stay text; fire alone would
+    read an id of digits as a number.
+    """
+    default_by_name = {x.name: x.default for x in inspect.signature(call).parameters.values()}
+    texts = [x for x, default in default_by_name.items() if not isinstance(default, int | tuple)]
+
+    @functools.wraps(call)
+    def bind(*arguments, **options):
+        for name, value in options.items():
+            _check_option(name, value, default_by_name[name])
+        return Command(functools.partial(call, *arguments, **options))
+
+    return fire.decorators.SetParseFns(**dict.fromkeys(texts, str))(bind)
+
+
+def _check_option(name: str, value: object, default: object) -> None:
+    option = f"--{name.replace('_', '-')}"
+    if isinstance(default, bool):
+        if not isinstance(value, bool):
+            raise UsageError(f"{option}: found {value!r}, expected no value")
+    elif isinstance(default, int):
+        if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+            raise UsageError(f"{option}: found {value!r}, expected a number of at least 0")
+    elif default is None and value == "True":
+        raise UsageError(f"{option} needs a value")
+
+
 def execute(program: str, commands: dict, arguments: list[str]) -> int:
     """Parse and run a command line; return the exit status."""
     if not arguments or arguments[-1] in _HELP:
-        print(_help(program, commands, arguments[:-1]))
+        output = sys.stdout if arguments else sys.stderr
+        print(_help(program, commands, arguments[:-1]), file=output)
         return 0 if arguments else USAGE_ERROR
     try:
-        command = parse(commands, arguments)
+        return parse(commands, arguments)._execute()
+    except InputError as error:
+        print(f"{program}: {error}", file=sys.stderr)
+        return USAGE_ERROR
     except UsageError as error:
         print(f"{program}: {error}; see {program} --help", file=sys.stderr)
         return USAGE_ERROR
-    return command._execute()
 
 
 def parse(commands: dict, arguments: list[str]) -> Command:
@@ -92,7 +131,11 @@
             near = difflib.get_close_matches(option, options, n=1)
             hint = f"did you mean {near[0]!r}?" if near else "it is not known here"
             return f"unknown option {option!r}, {hint}"
-    return reason
+    missing = re.search(r"required argument: (\w+)", reason)
+    if missing:
+        return f"{' '.join(arguments)!r} needs {missing.group(1).upper()}"
+    surplus = re.search(r"Could not consume arg: (.*)", reason)
+    return f"unexpected argument {surplus.group(1)!r}" if surplus else reason
 
 
 def _called(commands: dict, arguments: list[str]) -> Callable:
@@ -109,7 +152,7 @@
         if path[: len(words)] == words or not words:
             parameters = map(_describe, inspect.signature(call).parameters.values())
             lines.append(f"  {program} {' '.join([*path, *parameters])}")
-            lines += [f"      {line}" for line in inspect.getdoc(call).splitlines()]
+            lines += [f"      {line}" for line in inspect.getdoc(call).splitlines() if line]
     return "\n".join(lines)
 
 
@@ -117,7 +160,9 @@
     if parameter.default is inspect.Parameter.empty:
         return parameter.name.upper()
     option = f"--{parameter.name.replace('_', '-')}"
-    return f"[{option}]" if isinstance(parameter.default, bool) else f"[{option} VALUE]"
+    if isinstance(parameter.default, bool):
+        return f"[--no{option[2:]}]" if parameter.default else f"[{option}]"
+    return f"[{option} VALUE]"
 
 
 def _walk(commands: dict, path: list[str]):
--- /dev/null
+++ b/src/daisyfall/ctl.py
@@ -0,0 +1,49 @@
+"""`daisyfallctl`: the command line of operators and callers; it talks HTTP to an entry.
+
+The entry is named by `--url` or `DAISYFALL_URL`. The token comes from `DAISYFALL_TOKEN`
+or from the file that `DAISYFALL_TOKEN_FILE` names, never from the command line,
+where other users of the host could read it.
+"""
+
+import sys
+
+from daisyfall import _command_line, _ctl_jobs, _ctl_lists, _ctl_operate
+
+PROGRAM = "daisyfallctl"
+
+COMMANDS = {
+    "submit": _ctl_jobs.submit,
+    "job": {
+        "status": _ctl_jobs.status,
+        "answer": _ctl_jobs.answer,
+        "cancel": _ctl_jobs.cancel,
+    },
+    "lists": {
+        "check": _ctl_lists.check,
+        "fetch": _ctl_lists.fetch,
+        "diff": _ctl_lists.diff,
+        "apply": _ctl_lists.apply,
+        "status": _ctl_lists.status,
+        "history": _ctl_lists.history,
+    },
+    "upstreams": {
+        "list": _ctl_operate.list_upstreams,
+        "start": _ctl_operate.start,
+        "drain": _ctl_operate.drain,
+        "stop": _ctl_operate.stop,
+        "remove": _ctl_operate.remove,
+    },
+    "entries": {"list": _ctl_operate.list_entries},
+    "owners": {"list": _ctl_operate.list_owners},
+    "explain": _ctl_jobs.explain,
+    "token": _ctl_operate.token,
+}
+
+
+def main() -> None:
+    """Run the command line of this process and exit with its status."""
+    sys.exit(_command_line.execute(PROGRAM, COMMANDS, sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/daisyfall/daemon.py
+++ b/src/daisyfall/daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import sys
 
-import fire.decorators
 import uvloop
 
 from daisyfall import _command_line
@@ -12,19 +11,35 @@
 PROGRAM = "daisyfalld"
 
 
-@fire.decorators.SetParseFns(file=str)
+@_command_line.command
 def run(file, *, set=()):
     """Run the process that FILE describes until it is told to stop.
 
     --set KEY.PATH=VALUE overrides one setting and may be given several times.
     """
-    return _command_line.Command(lambda: _run(file, set))
+    settings = _load(file, set)
+    if settings is None:
+        return _command_line.USAGE_ERROR
+    _log.configure(settings)
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_serve(settings))
+    except KeyboardInterrupt:
+        return 1
+    except Exception as error:
+        _log.failed(error)
+        return 1
+    return 0
 
 
-@fire.decorators.SetParseFns(file=str)
+@_command_line.command
 def check(file, *, set=()):
     """Check the settings in FILE and name every problem; run nothing."""
-    return _command_line.Command(lambda: _check(file, set))
+    settings = _load(file, set)
+    if settings is None:
+        return _command_line.USAGE_ERROR
+    print(f"{file}: settings of {settings.role} {settings.id} are valid")
+    return 0
 
 
 def main() -> None:
@@ -55,30 +70,6 @@
         return None
 
 
-def _check(file: str, overrides) -> int:
-    settings = _load(file, overrides)
-    if settings is None:
-        return _command_line.USAGE_ERROR
-    print(f"{file}: settings of {settings.role} {settings.id} are valid")
-    return 0
-
-
-def _run(file: str, overrides) -> int:
-    settings = _load(file, overrides)
-    if settings is None:
-        return _command_line.USAGE_ERROR
-    _log.configure(settings)
-    try:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_serve(settings))
-    except KeyboardInterrupt:
-        return 1
-    except Exception as error:
-        _log.failed(error)
-        return 1
-    return 0
-
-
 async def _serve(settings: _settings.Settings) -> None:
     match settings.role:
         case "entry":
--- a/src/daisyfall/process/_metrics.py
+++ b/src/daisyfall/process/_metrics.py
@@ -1,22 +1,84 @@
-"""Metrics of one process; labels take bounded values only."""
+"""Metrics of one process; labels take bounded values only.
+
+Names of metrics stand in this module alone; `docs/metrics.md` lists them.
+"""
+
+from collections.abc import Callable
 
 import prometheus_client as prometheus
 
 from daisyfall import errors
 
+# The creation times would double the size of each scrape and nothing reads them.
+prometheus.disable_created_metrics()
+
+# A reason beyond this many distinct ones per metric is counted as "other", so that
+# texts from other processes can't grow the memory of this one.
+LONGEST_LABEL_CHARACTERS = 48
+MOST_LABEL_VALUES = 32
+OTHER = "other"
+
+OUTCOMES = ("done", "failed", "not_started", "lost", "evicted")
+TABLE_OPERATIONS = ("read", "transact")
+TABLE_ERRORS = ("unavailable", "unknown", "conflict")
+UPSTREAM_STATES = ("starting", "active", "ejected", "draining", "stopped", "lost")
+
+_SECONDS = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+# The targets are 1.05 at p50 and 1.3 at p99.
+_RATIOS = (1.0, 1.02, 1.05, 1.1, 1.2, 1.3, 1.5, 2.0, 3.0, 5.0, 10.0)
+
 
 class Metrics:
-    """The registry of one process and the counters in it."""
+    """The registry of one process and all metrics in it."""
 
     def __init__(self):
         self.registry = prometheus.CollectorRegistry()
-        self._refusals = self._counter("refusals", "refusals and failures by error kind", ["kind"])
-        self._retries = self._counter("retries", "tasks sent again by reason", ["reason"])
-        self._wasted = self._counter("wasted_messages", "wasted messages by reason", ["reason"])
-        self._starts = self._counter("starts", "task starts ordered or executed", [])
-        self._results = self._counter("results", "task results by outcome", ["outcome"])
+        prometheus.ProcessCollector(registry=self.registry)
+        self._values_by_metric: dict[str, set[str]] = {}
+        self._make_counters()
+        self._make_histograms()
+        self._make_gauges()
+
+    def _make_counters(self) -> None:
+        self._refusals = self._counter("refusals", "Refusals and failures by error kind", "kind")
+        self._retries = self._counter("retries", "Tasks sent again by reason", "reason")
+        self._wasted = self._counter("wasted_messages", "Wasted messages by reason", "reason")
+        self._starts = self._counter("starts", "Task starts ordered or executed")
+        self._results = self._counter("results", "Task results by outcome", "outcome")
+        self._table_errors = self._counter("table_errors", "Failed table calls by effect", "effect")
+        self._epochs = self._counter("epochs_activated", "Shard epochs activated by this process")
         for kind in errors.Kind:
             self._refusals.labels(kind.value)
+        for outcome in OUTCOMES:
+            self._bounded(self._results, outcome)
+        for effect in TABLE_ERRORS:
+            self._bounded(self._table_errors, effect)
+
+    def _make_histograms(self) -> None:
+        self._queue_time = self._histogram(
+            "queue_seconds", "Time from the admission of a task to its start order", _SECONDS
+        )
+        self._ratio = self._histogram(
+            "response_over_ideal", "Response time of complete jobs over the ideal", _RATIOS
+        )
+        self._table_time = self._histogram(
+            "table_seconds", "Time of one table call by operation", _SECONDS, "operation"
+        )
+        for operation in TABLE_OPERATIONS:
+            self._bounded(self._table_time, operation)
+
+    def _make_gauges(self) -> None:
+        self._lists_version = self._gauge("lists_version", "Version of the lists in force here")
+        self._epoch_count = self._gauge("epochs", "Shards of which this process knows an epoch")
+        self._shards = self._gauge("owned_shards", "Shards that this entry owns")
+        self._roster = self._gauge("roster_size", "Entries in the roster")
+        self._lease = self._gauge(
+            "lease_margin_seconds", "Time until the lease runs out; negative without a lease"
+        )
+        self._upstreams = self._gauge("upstreams", "Upstreams by state", "state")
+        self._jobs = self._gauge("jobs", "Jobs in memory, finished ones included")
+        for state in UPSTREAM_STATES:
+            self._bounded(self._upstreams, state)
 
     def refused(self, kind: errors.Kind) -> None:
         """Count one refusal or failure."""
@@ -24,11 +86,11 @@
 
     def retried(self, reason: str, tasks: int = 1) -> None:
         """Count tasks that are sent again because they provably did not start."""
-        self._retries.labels(reason).inc(tasks)
+        self._bounded(self._retries, reason).inc(tasks)
 
     def wasted(self, reason: str, messages: int = 1) -> None:
         """Count messages that are no start, result, submission, answer or heartbeat."""
-        self._wasted.labels(reason).inc(messages)
+        self._bounded(self._wasted, reason).inc(messages)
 
     def started(self, tasks: int) -> None:
         """Count task starts."""
@@ -36,11 +98,76 @@
 
     def finished(self, outcome: str, tasks: int = 1) -> None:
         """Count task results."""
-        self._results.labels(outcome).inc(tasks)
+        self._bounded(self._results, outcome).inc(tasks)
+
+    def queued_for(self, seconds: float) -> None:
+        """Record how long a task waited from its admission to its start order."""
+        self._queue_time.observe(seconds)
+
+    def responded(self, ratio: float) -> None:
+        """Record the response time of one complete job over its ideal."""
+        self._ratio.observe(ratio)
+
+    def table_called(self, operation: str, seconds: float) -> None:
+        """Record the time of one table call, `read` or `transact`."""
+        self._bounded(self._table_time, operation).observe(seconds)
+
+    def table_failed(self, effect: str) -> None:
+        """Count a failed table call: `unavailable`, `unknown` or `conflict`."""
+        self._bounded(self._table_errors, effect).inc()
+
+    def epoch_activated(self) -> None:
+        """Count one shard epoch that this process activated."""
+        self._epochs.inc()
+
+    def set_lists_version(self, version: int) -> None:
+        """Set the version of the lists in force here."""
+        self._lists_version.set(version)
+
+    def set_epochs(self, count: int) -> None:
+        """Set the number of shards of which this process knows an epoch."""
+        self._epoch_count.set(count)
+
+    def set_owned_shards(self, count: int) -> None:
+        """Set the number of shards that this entry owns."""
+        self._shards.set(count)
+
+    def set_roster_size(self, count: int) -> None:
+        """Set the number of entries in the roster."""
+        self._roster.set(count)
+
+    def watch_lease(self, seconds_left: Callable[[], float]) -> None:
+        """Take the lease margin from a function at each scrape, so that it is never stale."""
+        self._lease.set_function(seconds_left)
+
+    def set_upstreams(self, count_by_state: dict[str, int]) -> None:
+        """Set the number of upstreams in each state; states that are not named become 0."""
+        for state in {*UPSTREAM_STATES, *count_by_state}:
+            self._bounded(self._upstreams, state).set(count_by_state.get(state, 0))
+
+    def set_jobs(self, count: int) -> None:
+        """Set the number of jobs in memory."""
+        self._jobs.set(count)
 
     def render(self) -> bytes:
         """Return the exposition format."""
         return prometheus.generate_latest(self.registry)
 
-    def _counter(self, name: str, text: str, labels: list[str]) -> prometheus.Counter:
+    def _bounded(self, metric, value: str):
+        seen = self._values_by_metric.setdefault(metric._name, set())
+        if value not in seen:
+            if len(seen) >= MOST_LABEL_VALUES or len(value) > LONGEST_LABEL_CHARACTERS:
+                value = OTHER
+            seen.add(value)
+        return metric.labels(value)
+
+    def _counter(self, name: str, text: str, *labels: str) -> prometheus.Counter:
         return prometheus.Counter(f"daisyfall_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str, *labels: str) -> prometheus.Gauge:
+        return prometheus.Gauge(f"daisyfall_{name}", text, labels, registry=self.registry)
+
+    def _histogram(self, name: str, text: str, buckets: tuple, *labels: str):
+        return prometheus.Histogram(
+            f"daisyfall_{name}", text, labels, buckets=buckets, registry=self.registry
+        )
