--- a/src/daisyfall/_ctl_jobs.py
+++ b/src/daisyfall/_ctl_jobs.py
@@ -13,6 +13,8 @@
 MOST_SUBMISSIONS = 4
 BACKOFF_SECONDS = 0.25
 POLL_SECONDS = 0.5
+# Longest wait in one request for an answer; the entry accepts up to 60 s.
+LONGEST_WAIT_MS = 30_000
 # What a caller waits beyond the deadline for the answer to come back.
 REPLY_MARGIN_SECONDS = 5.0
 
@@ -67,8 +69,13 @@
         end = loop.time() + limit_seconds
         async with _ctl_output.progress(lambda: f"waiting for the answer to {job}"):
             while True:
-                left = max(end - loop.time(), POLL_SECONDS)
-                found, body = await client.request("GET", path, timeout_seconds=left)
+                wait_ms = max(0, min(LONGEST_WAIT_MS, int((end - loop.time()) * 1000)))
+                found, body = await client.request(
+                    "GET",
+                    path,
+                    query={"wait_ms": str(wait_ms)},
+                    timeout_seconds=wait_ms / 1000 + REPLY_MARGIN_SECONDS,
+                )
                 # 202 is the reply for a job that is still running.
                 if found != 202:
                     _show_answer(body, json)
@@ -122,6 +129,10 @@
     if not isinstance(deadline, int) or isinstance(deadline, bool) or deadline < 1:
         problem = f"{file}: deadline_ms: found {_checked.show(deadline)}, expected milliseconds"
         raise _command_line.InputError(problem)
+    try:
+        json.dumps(job)
+    except TypeError as error:
+        raise _command_line.InputError(f"{file}: has no JSON form: {error}") from error
     return {"job_id": _ids.new_job_id()} | job
 
 
--- a/src/daisyfall/_ctl_operate.py
+++ b/src/daisyfall/_ctl_operate.py
@@ -10,6 +10,8 @@
 from daisyfall.version import _lists, _lists_check
 
 POLL_SECONDS = 0.5
+# States of an upstream that runs nothing and gets no work.
+IDLE_STATES = ("drained", "absent")
 SECRET_BYTES = 32
 SALT_BYTES = 12
 
@@ -74,7 +76,7 @@
 @_command_line.command
 def list_entries(*, url=None, json=False):
     """Print all entries."""
-    columns = ["id", "state", "data_centre", "url", "incarnation"]
+    columns = ["id", "state", "data_centre", "address", "http_address", "incarnation"]
     return _list("entries", columns, url, json)
 
 
@@ -191,10 +193,11 @@
     found: dict = {}
     async with _ctl_output.progress(lambda: f"upstream {upstream}: {_load(found)}"):
         while loop.time() < end:
-            found = await _find_upstream(client, upstream) or {}
-            # An upstream that still counts as active may yet be given work.
-            busy = found.get("running", 0) + found.get("queued", 0)
-            if found.get("state") != "active" and not busy:
+            try:
+                found = await _find_upstream(client, upstream) or {}
+            except (_ctl_client.NoReplyError, _ctl_client.UnreachableError) as error:
+                _ctl_output.note(str(error))
+            if found.get("state") in IDLE_STATES:
                 return True
             await asyncio.sleep(POLL_SECONDS)
     _ctl_output.note(f"upstream {upstream} is not idle: {_load(found)}")
--- a/src/daisyfall/process/_metrics.py
+++ b/src/daisyfall/process/_metrics.py
@@ -21,7 +21,7 @@
 OUTCOMES = ("done", "failed", "not_started", "lost", "evicted")
 TABLE_OPERATIONS = ("read", "transact")
 TABLE_ERRORS = ("unavailable", "unknown", "conflict")
-UPSTREAM_STATES = ("starting", "active", "ejected", "draining", "stopped", "lost")
+UPSTREAM_STATES = ("connecting", "unlisted", "no runner", "ready", "draining", "drained", "absent")
 
 _SECONDS = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 # The targets are 1.05 at p50 and 1.3 at p99.
@@ -38,6 +38,7 @@
         self._make_counters()
         self._make_histograms()
         self._make_gauges()
+        self._make_agent_metrics()
 
     def _make_counters(self) -> None:
         self._refusals = self._counter("refusals", "Refusals and failures by error kind", "kind")
@@ -80,6 +81,17 @@
         for state in UPSTREAM_STATES:
             self._bounded(self._upstreams, state)
 
+    def _make_agent_metrics(self) -> None:
+        self._starts_refused = self._counter(
+            "starts_refused", "Start messages refused by an agent, by reason", "reason"
+        )
+        self._link_failures = self._counter(
+            "link_failures", "Links to entries that failed, by step", "step"
+        )
+        self._links = self._gauge("links", "Live links to entries")
+        self._ledger = self._gauge("ledger", "Jobs, results and bytes in the ledger", "what")
+        self._tasks = self._gauge("agent_tasks", "Tasks at the agent, by state", "state")
+
     def refused(self, kind: errors.Kind) -> None:
         """Count one refusal or failure."""
         self._refusals.labels(kind.value).inc()
@@ -120,35 +132,54 @@
         """Count one shard epoch that this process activated."""
         self._epochs.inc()
 
-    def set_lists_version(self, version: int) -> None:
-        """Set the version of the lists in force here."""
+    def list_version(self, version: int) -> None:
+        """Show the version of the lists in force here."""
         self._lists_version.set(version)
 
-    def set_epochs(self, count: int) -> None:
-        """Set the number of shards of which this process knows an epoch."""
+    def epochs(self, count: int) -> None:
+        """Show the number of shards of which this process knows an epoch."""
         self._epoch_count.set(count)
 
-    def set_owned_shards(self, count: int) -> None:
-        """Set the number of shards that this entry owns."""
+    def owned_shards(self, count: int) -> None:
+        """Show the number of shards that this entry owns."""
         self._shards.set(count)
 
-    def set_roster_size(self, count: int) -> None:
-        """Set the number of entries in the roster."""
+    def roster_size(self, count: int) -> None:
+        """Show the number of entries in the roster."""
         self._roster.set(count)
 
-    def watch_lease(self, seconds_left: Callable[[], float]) -> None:
+    def lease_margin(self, seconds_left: Callable[[], float]) -> None:
         """Take the lease margin from a function at each scrape, so that it is never stale."""
         self._lease.set_function(seconds_left)
 
-    def set_upstreams(self, count_by_state: dict[str, int]) -> None:
-        """Set the number of upstreams in each state; states that are not named become 0."""
+    def upstreams(self, count_by_state: dict[str, int]) -> None:
+        """Show the number of upstreams in each state; states that are not named become 0."""
         for state in {*UPSTREAM_STATES, *count_by_state}:
             self._bounded(self._upstreams, state).set(count_by_state.get(state, 0))
 
-    def set_jobs(self, count: int) -> None:
-        """Set the number of jobs in memory."""
+    def jobs_in_memory(self, count: int) -> None:
+        """Show the number of jobs in memory."""
         self._jobs.set(count)
 
+    def start_refused(self, reason: str) -> None:
+        """Count one start message that an agent refused."""
+        self._bounded(self._starts_refused, reason).inc()
+
+    def link_failed(self, step: str) -> None:
+        """Count one link that could not be opened or broke the protocol."""
+        self._bounded(self._link_failures, step).inc()
+
+    def links(self, count: int) -> None:
+        """Show the number of live links to entries."""
+        self._links.set(count)
+
+    def agent(self, value_by_what: dict[str, int], running: int, queued: int) -> None:
+        """Show the ledger's sizes and the tasks at the agent."""
+        for what, value in value_by_what.items():
+            self._bounded(self._ledger, what).set(value)
+        self._tasks.labels("running").set(running)
+        self._tasks.labels("queued").set(queued)
+
     def render(self) -> bytes:
         """Return the exposition format."""
         return prometheus.generate_latest(self.registry)
