Measure table calls, keep tasks of absent agents outstanding

Cause: the dispatcher forgets the tasks of a removed upstream, so a task whose start message was lost with the connection could not be queued again. Change: an upstream whose connection ended is unusable until its agent is back or given up; table calls are counted by a wrapper. Conclusion: reconciliation works on tasks that are still outstanding.

--- a/src/daisyfall/process/_entry.py
+++ b/src/daisyfall/process/_entry.py
@@ -1,6 +1,7 @@
 """Composition root of an entry."""
 
 import asyncio
+import collections
 import random
 import signal
 
@@ -18,6 +19,7 @@
 from daisyfall.process import (
     _health_api,
     _membership,
+    _metered_table,
     _metrics,
     _objects,
     _ownership,
@@ -48,7 +50,8 @@
         self.incarnation = _ids.new_incarnation()
         self.metrics = _metrics.Metrics()
         table = settings.table
-        self.table = _table.HttpTable(table.url, table.timeout_ms / 1000, settings.id)
+        client = _table.HttpTable(table.url, table.timeout_ms / 1000, settings.id)
+        self.table = _metered_table.MeteredTable(client, self.metrics)
         self.objects = _objects.HttpObjects(
             table.objects_url, table.objects_timeout_ms / 1000, settings.id
         )
@@ -88,6 +91,7 @@
         self.registry.calls = _registry.PeerCalls(
             self.peers.promise, self.peers.query, self.fencer.fence
         )
+        self.metrics.lease_margin(lambda: self.registry.lease.remaining(_clock.monotonic()))
         self._tasks: set[asyncio.Task] = set()
         self._listing: set[str] = set()
 
@@ -116,6 +120,8 @@
 
     def on_active(self, shard: int) -> None:
         """Use a shard."""
+        if self.registry.holding_by_shard[shard].epoch > 1:
+            self.dispatcher.activated(shard, _clock.monotonic())
         self.delivery.pump_soon()
 
     async def _follow_lists(self, head: _table.Row | None) -> None:
@@ -240,6 +246,20 @@
         while True:
             await asyncio.sleep(self.settings.lease.heartbeat_ms / 1000 / 4)
             self.delivery.give_up_absent(_clock.monotonic())
+            self._measure()
+
+    def _measure(self) -> None:
+        registry = self.registry
+        self.metrics.owned_shards(sum(each.active for each in registry.holding_by_shard.values()))
+        self.metrics.roster_size(len(registry.view.entry_by_id))
+        self.metrics.jobs_in_memory(
+            len(self.owner.jobs.job_by_key) + len(self.owner.jobs.record_by_key)
+        )
+        states = collections.Counter(
+            "ready" if each.status and each.status.ready else "not_ready"
+            for each in self.delivery.session_by_id.values()
+        )
+        self.metrics.upstreams(dict(states))
 
     async def _stop(self) -> None:
         """Hand over the shards and answer every open request (rule 9)."""
--- a/src/daisyfall/request/_delivery.py
+++ b/src/daisyfall/request/_delivery.py
@@ -186,7 +186,8 @@
         self._absent_by_agent[session.agent_id] = _Absent(
             session.incarnation, _clock.monotonic(), sent
         )
-        self._dispatcher.remove_upstream(session.agent_id)
+        # What was sent there stays outstanding until the agent is back or given up.
+        self.update_upstream(session)
         logger.bind(upstream=session.agent_id).warning("agent disconnected")
         self.pump_soon()
 
@@ -200,12 +201,15 @@
 
     def _lose(self, agent_id: str, sent: Indices, reason: str) -> None:
         now = _clock.monotonic()
+        logger.bind(upstream=agent_id, reason=reason).warning("upstream given up")
         for key, indices in sent.items():
             for index in sorted(indices):
                 self._dispatcher.finished(key, index, _wire.LOST, 0.0, now)
                 self._jobs.task_result(
                     agent_id, key, index, outcome=_wire.LOST, value=reason, run_ms=0.0
                 )
+        self._dispatcher.remove_upstream(agent_id)
+        self.pump_soon()
 
     def expect(
         self,
@@ -330,7 +334,9 @@
         if status is None:
             return
         wish = self.wish_of(session.agent_id)
-        usable = status.listed and status.ready and not status.draining and wish == "started"
+        connected = self.session_by_id.get(session.agent_id) is session
+        willing = status.listed and status.ready and not status.draining and wish == "started"
+        usable = connected and willing
         near = session.data_centre == self._settings.data_centre
         self._dispatcher.update_upstream(
             _dispatcher.Upstream(
@@ -383,7 +389,7 @@
     def _adopt(self, session, shard: int, key: _work.Key, entry: _reports.Report) -> None:
         self._jobs.reports.add(shard, session.agent_id, key, entry)
         running = _reports.bits_of(entry.started & ~entry.finished)
-        if running:
+        if running and session.status is not None:
             self._dispatcher.adopt(key, running, session.agent_id, None)
 
     def _end_report(self, session, report, waiting: Indices, holding) -> None:
@@ -401,9 +407,7 @@
         finished = entry.finished if entry else 0
         held = {index for index in indices if started >> index & 1}
         if held:
-            sent = self._sent_by_agent[session.agent_id].setdefault(key, set())
-            sent.update(held)
-            self._dispatcher.adopt(key, sorted(held), session.agent_id, None)
+            self._sent_by_agent[session.agent_id].setdefault(key, set()).update(held)
         if any(finished >> index & 1 for index in held):
             session.send(_wire.FetchResults(*key))
             self._metrics.wasted("fetch_results")
