--- /dev/null
+++ b/src/daisyfall/request/_dispatcher.py
@@ -0,0 +1,389 @@
+"""Dispatch decisions of one entry: admission, fair queue, limits, choice of upstream, retries.
+
+Nothing here waits, reads a clock or sends: the caller passes the time in, sends what `assign`
+returns, and reports what became of it.
+"""
+
+import heapq
+import random
+
+import attrs
+
+from daisyfall import _wire, errors
+from daisyfall.process import _settings
+from daisyfall.request import (
+    _admission,
+    _estimates,
+    _explain,
+    _flight,
+    _groups,
+    _limits,
+    _queue,
+    _retries,
+    _routing,
+    _work,
+)
+from daisyfall.version import _lists
+
+Upstream = _groups.Upstream
+
+
+@attrs.define(slots=True, eq=False)
+class Assignment:
+    """Tasks of one job that are to be sent to one agent, in this order."""
+
+    agent_id: str
+    incarnation: str
+    work: _work.Work
+    tasks: list[_work.Task]
+
+
+class Dispatcher:
+    """All decisions on the tasks of the buyers that this entry owns."""
+
+    def __init__(
+        self,
+        settings: _settings.RoutingSettings,
+        jobs: _settings.JobSettings,
+        data_centre: str,
+        rng: random.Random,
+    ) -> None:
+        self._jobs_settings = jobs
+        self._lists: _lists.Lists | None = None
+        self._queue = _queue.FairQueue()
+        self._router = _routing.Router(settings, data_centre, rng)
+        self._estimates = _estimates.Estimates()
+        self._retries = _retries.Retries(settings, rng)
+        self._flight = _flight.Flight(self._queue, self._router)
+        self._job_by_key = self._flight.job_by_key
+        self._sequence = 0
+        self._rate_heap: list[tuple[float, int, _queue.Buyer]] = []
+        self._deadline_heap: list[tuple[float, int, _queue.Job]] = []
+        self._expired: list[_work.Key] = []
+        self._activated_at: dict[int, float] = {}
+
+    # Lists and upstreams.
+
+    def use_lists(self, lists: _lists.Lists) -> None:
+        """Put a version of the lists in force, for queued work too."""
+        self._lists = lists
+        for buyer in self._queue.buyer_by_name.values():
+            self._apply_plan(buyer)
+
+    def _apply_plan(self, buyer: _queue.Buyer) -> None:
+        allowance = self._lists.allowance(buyer.name) if self._lists else None
+        buyer.usage.allowance = allowance
+        if allowance is not None:
+            self._queue.set_weight(buyer, max(1.0, allowance.priority))
+            pool = self._router.pool(allowance.data_centres, allowance.upstream_labels)
+            if pool is not buyer.pool:
+                self._queue.withdraw(buyer)
+                buyer.pool = pool
+        for lane in buyer.lanes.values():
+            lane.blocked = ""
+        self._queue.unblock(buyer)
+
+    def activated(self, shard: int, now: float) -> None:
+        """Empty the rate buckets of a shard's buyers: an earlier owner may have used them."""
+        self._activated_at[shard] = now
+        for buyer in self._queue.buyer_by_name.values():
+            if buyer.shard == shard:
+                buyer.usage.empty(now)
+
+    def _buyer(self, name: str, shard: int = -1) -> _queue.Buyer:
+        buyer = self._queue.buyer_by_name.get(name)
+        if buyer is None:
+            usage = _limits.Usage(None, self._activated_at.get(shard))
+            buyer = _queue.Buyer(name, usage, self._router.pool([], []), shard)
+            self._queue.buyer_by_name[name] = buyer
+            self._apply_plan(buyer)
+        if shard >= 0:
+            buyer.shard = shard
+        return buyer
+
+    def update_upstream(self, state: Upstream, now: float) -> None:
+        """Take over what is known of an upstream; a new incarnation is removed first."""
+        agent = self._router.update(state, now)
+        self._router.load(agent, state.running + state.queued, now)
+        self._router.set_share(agent, state.slots)
+        self._flight.wake_resource_waiters()
+
+    def update_load(self, agent_id: str, running: int, queued: int, now: float) -> None:
+        """Take over an agent's load; call it after `finished` for the results it came with."""
+        agent = self._router.agent_by_id.get(agent_id)
+        if agent is not None:
+            self._router.load(agent, running + queued, now)
+            self._flight.changed.add(agent)
+
+    def remove_upstream(self, agent_id: str) -> list[tuple[_work.Key, int]]:
+        """Forget an agent; return the tasks outstanding there, which count no longer."""
+        agent = self._router.remove(agent_id)
+        return self._flight.release_agent(agent) if agent is not None else []
+
+    # Work.
+
+    def admit(self, work: _work.Work, now: float) -> None:
+        """Queue the tasks of a job, or raise `DispatchError` if it can't be accepted."""
+        if self._lists is None:
+            raise errors.DispatchError(errors.Kind.LISTS_UNAVAILABLE)
+        buyer = self._buyer(work.buyer, work.shard)
+        if buyer.usage.allowance is None:
+            raise errors.DispatchError(errors.Kind.UNAUTHORIZED)
+        buyer.usage.fill(now)
+        entries, learnt_ms, longest_ms = _admission.measure_tasks(
+            work.buyer, work.tasks, self._estimates
+        )
+        request = _admission.Request(work, buyer, learnt_ms, longest_ms, now)
+        _admission.check(request, self._queue, self._router, self._jobs_settings.queue_tasks)
+        job = self._job_by_key.get(work.key)
+        if job is None:
+            job = self._flight.new_job(work.key, buyer)
+        else:
+            known = job.sent.keys() | job.delayed.keys() | job.queued_indices()
+            doubled = sorted(known.intersection(task.index for task in work.tasks))
+            if doubled:
+                raise ValueError(f"tasks {doubled} of job {work.key} are queued or sent already")
+        job.work = work
+        job.removed = False
+        self._watch_deadline(job)
+        self._queue.add(job, entries)
+
+    def _watch_deadline(self, job: _queue.Job) -> None:
+        heap = self._deadline_heap
+        heapq.heappush(heap, (job.work.deadline, job.sequence, job))
+        # Finished jobs stay in the heap until it holds more of them than of others.
+        if len(heap) > 2 * len(self._job_by_key) + _SPARE_DEADLINES:
+            heap[:] = [each for each in heap if self._job_by_key.get(each[2].key) is each[2]]
+            heapq.heapify(heap)
+
+    def adopt(
+        self,
+        key: _work.Key,
+        indices: list[int],
+        agent_id: str,
+        work_tasks: list[_work.Task] | None,
+    ) -> None:
+        """Count tasks that an agent runs for an earlier owner; they are not queued."""
+        agent = self._router.agent_by_id.get(agent_id)
+        if agent is None:
+            raise ValueError(f"agent {agent_id!r} is unknown, expected update_upstream first")
+        job = self._job_by_key.get(key)
+        if job is None:
+            job = self._flight.new_job(key, self._buyer(key[0]))
+        task_by_index = {task.index: task for task in work_tasks or ()}
+        entries = []
+        for index in indices:
+            if index not in job.sent:
+                task = task_by_index.get(index) or _work.Task(index, "", None, 0)
+                entries.append(_admission.entry(key[0], task, self._estimates))
+        self._flight.send(job, agent, entries, _LONG_AGO)
+
+    def assign(self, now: float) -> list[Assignment]:
+        """Return the starts that are due now; each is counted as sent."""
+        self._advance(now)
+        batches: dict[tuple, Assignment] = {}
+        pools = self._router.pool_by_key.values()
+        while self._queue.queued:
+            best = None
+            limit_ms = float("inf")  # virtual time up to which the first buyer is served
+            for pool in pools:
+                if pool.heap and pool.is_open():
+                    if best is None or pool.heap[0] < best.heap[0]:
+                        if best is not None:
+                            limit_ms = min(limit_ms, best.heap[0][0])
+                        best = pool
+                    else:
+                        limit_ms = min(limit_ms, pool.heap[0][0])
+            if best is None:
+                break
+            self._serve(best, limit_ms, now, batches)
+        for pool in pools:
+            for buyer in pool.passed:
+                self._queue.offer(buyer)
+            pool.passed.clear()
+        return list(batches.values())
+
+    def _serve(self, pool: _groups.Pool, limit_ms: float, now: float, batches: dict) -> None:
+        """Serve the first buyer of a pool until it is another's turn or the buyer has to wait."""
+        queue, router = self._queue, self._router
+        buyer = heapq.heappop(pool.heap)[2]
+        buyer.listed = False
+        if pool.heap:
+            limit_ms = min(limit_ms, pool.heap[0][0])
+        usage = buyer.usage
+        usage.fill(now)
+        while buyer.virtual_ms <= limit_ms:
+            lane = buyer.next_lane()
+            if lane is None:
+                return
+            room, limit = usage.room(lane.key[1])
+            if limit is _limits.Limit.ACCELERATORS:
+                lane.blocked = limit.value
+                continue
+            if limit is not None:
+                self._block(buyer, limit)
+                return
+            part = lane.parts[0]
+            entry = part.entries[-1]
+            agent = router.pick(pool, part.job, entry, queue.queued)
+            if agent is None:
+                if lane.key == _queue.PLAIN:
+                    pool.passed.append(buyer)
+                    return
+                self._flight.wait_for_resource(buyer, lane)
+                continue
+            plain = lane.key == _queue.PLAIN
+            room = min(room, router.room(agent, entry[0])) if plain else 1
+            self._start(agent, part.job, queue.take(lane, part, room), now, batches)
+        queue.offer(buyer)
+
+    def _start(
+        self,
+        agent: _groups.Agent,
+        job: _queue.Job,
+        entries: list[_queue.Entry],
+        now: float,
+        batches: dict,
+    ) -> None:
+        self._flight.send(job, agent, entries, now)
+        job.buyer.usage.tokens -= len(entries)
+        self._retries.count_starts(len(entries))
+        tasks = [entry[4] for entry in entries]
+        batch_key = (job.key, agent)
+        batch = batches.get(batch_key)
+        if batch is None:
+            upstream = agent.upstream
+            batches[batch_key] = Assignment(
+                upstream.agent_id, upstream.incarnation, job.work, tasks
+            )
+        else:
+            batch.tasks.extend(tasks)
+
+    def _block(self, buyer: _queue.Buyer, limit: _limits.Limit) -> None:
+        buyer.blocked = limit
+        if limit is _limits.Limit.RATE:
+            at = buyer.usage.next_token(buyer.queued)
+            if at is not None:
+                self._sequence += 1
+                heapq.heappush(self._rate_heap, (at, self._sequence, buyer))
+
+    def _advance(self, now: float) -> None:
+        """Do what is due by time, and bring the agents' load up to date."""
+        self._expire(now)
+        while self._rate_heap and self._rate_heap[0][0] <= now:
+            _, _, buyer = heapq.heappop(self._rate_heap)
+            if buyer.blocked is _limits.Limit.RATE:
+                self._queue.unblock(buyer)
+        for job, index in self._retries.due(now):
+            entry = job.delayed.pop(index, None)
+            if entry is not None:
+                self._queue.put_back(job, entry)
+        self._router.decay(now)
+        self._flight.refresh_agents()
+
+    def _expire(self, now: float) -> None:
+        heap = self._deadline_heap
+        while heap and heap[0][0] <= now:
+            deadline, _, job = heapq.heappop(heap)
+            current = job.work is not None and job.work.deadline == deadline
+            if current and not job.removed and not job.idle:
+                self._expired.append(job.key)
+                self._take_unsent(job)
+
+    def _take_unsent(self, job: _queue.Job) -> None:
+        job.unsent += self._queue.drop(job)
+        job.unsent += job.delayed
+        job.delayed.clear()
+
+    # Reports.
+
+    def finished(self, key: _work.Key, index: int, outcome: int, run_ms: float, now: float) -> None:
+        """Take over the outcome of a task; a repeated or unknown one is ignored."""
+        job = self._job_by_key.get(key)
+        if job is None or index not in job.sent:
+            return
+        entry = self._flight.release(job, index)[1]
+        if outcome == _wire.DONE:
+            self._estimates.learn(key[0], entry[4].kind, run_ms)
+        if not job.sent:
+            self._flight.forget_if_idle(job)
+
+    def not_started(self, key: _work.Key, index: int, reason: str, now: float) -> bool:
+        """Queue a task again that provably did not start; return whether it will be sent again."""
+        job = self._job_by_key.get(key)
+        if job is None or index not in job.sent:
+            return False
+        entry = self._flight.release(job, index)[1]
+        if job.removed or job.work is None:
+            self._flight.forget_if_idle(job)
+            return False
+        attempt = job.attempts[index] = job.attempts.get(index, 0) + 1
+        ready_at = now + self._retries.backoff_s(reason, attempt)
+        if ready_at >= job.work.deadline or not self._retries.take(reason, now):
+            job.unsent.append(index)
+            return False
+        if ready_at <= now:
+            self._queue.put_back(job, entry)
+        else:
+            job.delayed[index] = entry
+            self._retries.delay(ready_at, job, index)
+        return True
+
+    def remove_work(self, key: _work.Key) -> tuple[list[int], dict[str, list[int]]]:
+        """Take a cancelled or failed job out.
+
+        Return the indices that were never sent, and the unfinished ones by agent; these
+        count towards limits and load until they are reported.
+        """
+        job = self._job_by_key.get(key)
+        if job is None:
+            return [], {}
+        job.removed = True
+        self._take_unsent(job)
+        unsent, job.unsent = job.unsent, []
+        sent: dict[str, list[int]] = {}
+        for index, (agent, _) in job.sent.items():
+            sent.setdefault(agent.upstream.agent_id, []).append(index)
+        self._flight.forget_if_idle(job)
+        return sorted(unsent), sent
+
+    def expired(self, now: float) -> list[_work.Key]:
+        """Return the jobs whose deadline passed, each once; the caller removes them."""
+        self._expire(now)
+        expired, self._expired = self._expired, []
+        return expired
+
+    # What the caller asks.
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Return when `assign` or `expired` could do something without a new event."""
+        heap = self._deadline_heap
+        while heap and (heap[0][2].idle or heap[0][2].removed):
+            heapq.heappop(heap)
+        times = [heap[0][0]] if heap else []
+        times.append(self._retries.next_due())
+        if self._queue.queued:
+            times.append(self._router.next_decay())
+            times.append(self._rate_heap[0][0] if self._rate_heap else None)
+        due = [time for time in times if time is not None]
+        return max(now, min(due)) if due else None
+
+    def recalls(self, now: float) -> list[str]:
+        """Return the agents that were taken out and whose queued work is to be recalled."""
+        return []
+
+    def explain(self, key: _work.Key, now: float) -> dict:
+        """Return why a job waits, or what it waits for."""
+        job = self._job_by_key.get(key)
+        if job is None:
+            return {"state": "unknown"}
+        job.buyer.usage.fill(now)
+        return _explain.explain(job, self._queue, now)
+
+    def snapshot(self) -> dict:
+        """Return counts for the status page and the metrics."""
+        return _explain.snapshot(self._queue, self._router, self._retries, len(self._job_by_key))
+
+
+_LONG_AGO = float("-inf")
+_SPARE_DEADLINES = 1000
