--- /dev/null
+++ b/src/daisyfall_standins/cluster.py
@@ -0,0 +1,164 @@
+"""A whole deployment on this machine: platform stand-ins, entries, agents and runners."""
+
+import collections
+import json
+import time
+import urllib.error
+import urllib.request
+from typing import Any
+
+import attrs
+from prometheus_client import parser
+
+from daisyfall_standins import processes
+
+_CALL_TIMEOUT_SECONDS = 10.0
+_IN_FORCE_SECONDS = 10.0
+_POLL_SECONDS = 0.05
+
+
+class ClusterError(Exception):
+    """A call of an operator failed; the text holds the status and the answer."""
+
+
+@attrs.frozen
+class Starts:
+    """Starts as all runners together counted them."""
+
+    count_by_id: dict[str, int]
+    count_by_token: dict[str, int]
+
+    @property
+    def total(self) -> int:
+        """Return the number of starts."""
+        return sum(self.count_by_id.values())
+
+    @property
+    def twice(self) -> list[str]:
+        """Return the ids, by task or by token, that were started more than once."""
+        counts = [*self.count_by_id.items(), *self.count_by_token.items()]
+        return sorted({key for key, count in counts if count > 1})
+
+
+@attrs.define
+class Cluster:
+    """The processes of a deployment; runner n belongs to agent n."""
+
+    fleet: processes.Fleet
+    table: processes.Process
+    objects: processes.Process
+    entries: list[processes.Process] = attrs.Factory(list)
+    agents: list[processes.Process] = attrs.Factory(list)
+    runners: list[processes.Process] = attrs.Factory(list)
+
+    @property
+    def daemons(self) -> list[processes.Process]:
+        """Return the entries and agents."""
+        return [*self.entries, *self.agents]
+
+    def add_entry(self, **changes) -> processes.Process:
+        """Start one more entry; `changes` replace whole keys of its settings."""
+        name = f"entry-{len(self.entries) + 1}"
+        settings = self.fleet.entry_settings(name, self.table, self.objects, **changes)
+        self.entries.append(self.fleet.start_daemon(name, settings))
+        return self.entries[-1]
+
+    def add_agent(self, runner_options: dict | None = None, **changes) -> processes.Process:
+        """Start one more agent with its runner (none for runner kind null)."""
+        number = len(self.agents) + 1
+        changes = {"entries": [entry.peer for entry in self.entries], **changes}
+        name = f"agent-{number}"
+        settings = self.fleet.agent_settings(name, self.table, self.objects, **changes)
+        agent = self.fleet.start_daemon(name, settings)
+        self.agents.append(agent)
+        if settings.get("runner", {}).get("kind") != "null":
+            options = runner_options or {}
+            self.runners.append(self.fleet.start_runner(f"runner-{number}", agent.url, **options))
+        return agent
+
+    def apply_lists(self, plans: dict, allowances: dict) -> int:
+        """Replace both lists through the first entry; return their version once in force."""
+        url = f"{self.entries[0].url}/v1/lists"
+        status, present = self.call("GET", url)
+        base = present.get("version", 0) if status == 200 else 0
+        body = {"base_version": base, "plans": plans, "allowances": allowances}
+        status, answer = self.call("PUT", url, body)
+        if status != 200:
+            raise ClusterError(f"PUT {url}: status {status}, {answer}")
+        self.wait_lists(answer["version"])
+        return answer["version"]
+
+    def wait_lists(self, version: int) -> None:
+        """Return when every entry that runs has this version of the lists in force."""
+        limit = time.monotonic() + _IN_FORCE_SECONDS
+        for entry in self.entries:
+            while entry.popen.poll() is None:
+                status, answer = self.call("GET", f"{entry.url}/v1/lists")
+                if status == 200 and answer.get("version", 0) >= version:
+                    break
+                if time.monotonic() > limit:
+                    raise ClusterError(f"{entry.name} lacks lists version {version}: {answer}")
+                time.sleep(_POLL_SECONDS)
+
+    def call(self, method: str, url: str, body: Any = None) -> tuple[int, dict]:
+        """Make one request as operator; return the status and the JSON answer."""
+        return call(method, url, body, self.fleet.operator_token)
+
+    def starts(self) -> Starts:
+        """Return the starts that all runners counted."""
+        by_id: collections.Counter[str] = collections.Counter()
+        by_token: collections.Counter[str] = collections.Counter()
+        for runner in self.runners:
+            _, counted = call("GET", f"{runner.url}/v1/starts?ids=1")
+            by_id.update(counted["count_by_id"])
+            by_token.update(counted["count_by_token"])
+        return Starts(by_id, by_token)
+
+    def sum_metric(self, name: str, group: list[processes.Process] | None = None) -> float:
+        """Return a sample's sum over all labels and over the daemons that run."""
+        running = [each for each in group or self.daemons if each.popen.poll() is None]
+        return sum(sum(read_metric(each, name).values()) for each in running)
+
+
+def start(
+    fleet: processes.Fleet, *, entries: int = 2, agents: int = 3, runner_options: dict | None = None
+) -> Cluster:
+    """Start a deployment and return when every process is ready."""
+    cluster = Cluster(fleet, fleet.start_table(), fleet.start_objects())
+    fleet.wait_ready()
+    for _ in range(entries):
+        cluster.add_entry()
+    fleet.wait_ready()
+    for _ in range(agents):
+        cluster.add_agent(runner_options)
+    fleet.wait_ready()
+    return cluster
+
+
+def read_metric(process: processes.Process, name: str) -> dict[tuple, float]:
+    """Return a sample's values by label values."""
+    with urllib.request.urlopen(f"{process.url}/metrics", timeout=_CALL_TIMEOUT_SECONDS) as reply:
+        families = parser.text_string_to_metric_families(reply.read().decode())
+    samples = [sample for family in families for sample in family.samples if sample.name == name]
+    return {tuple(sample.labels.values()): sample.value for sample in samples}
+
+
+def call(method: str, url: str, body: Any = None, token: str = "") -> tuple[int, dict]:
+    """Make one HTTP request with a JSON body; return the status and the JSON answer."""
+    headers = {"Content-Type": "application/json"}
+    if token:
+        headers["Authorization"] = f"Bearer {token}"
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data=data, headers=headers, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=_CALL_TIMEOUT_SECONDS) as reply:
+            return reply.status, json.loads(reply.read())
+    except urllib.error.HTTPError as error:
+        return error.code, _parse(error.read())
+
+
+def _parse(text: bytes) -> dict:
+    try:
+        return json.loads(text)
+    except ValueError:
+        return {"text": text.decode(errors="replace")}
--- /dev/null
+++ b/src/daisyfall_standins/demo.py
@@ -0,0 +1,111 @@
+"""`make demo`: two entries and three agents run one example job of each deployment.
+
+The last line of the output is one JSON object with the figures. The exit status
+is 0 only if every job is complete and no task was started twice.
+"""
+
+import asyncio
+import json
+import pathlib
+import sys
+
+import attrs
+import yaml
+
+from daisyfall_standins import cluster as clusters
+from daisyfall_standins import load, processes
+
+EXAMPLES = pathlib.Path("examples")
+ENTRIES = 2
+AGENTS = 3
+SLOTS = AGENTS * 8
+# Caller to entry and entry to agent to runner; loopback only, so the ideal has no round trips.
+ROUND_TRIP_MS = 0.0
+
+
+@attrs.frozen
+class Example:
+    """One deployment's example: the folder below `examples/` and the buyer that submits."""
+
+    name: str
+    buyer: str
+
+
+EXAMPLE_JOBS = [Example("cooperative", "andina-brands"), Example("salinas", "weighbridge")]
+
+
+def run_example(cluster: clusters.Cluster, example: Example) -> load.Record:
+    """Put the example's lists in force, submit its job and print the outcome."""
+    folder = EXAMPLES / example.name
+    plans = yaml.safe_load((folder / "plans.yaml").read_text())
+    allowances = yaml.safe_load((folder / "allowances.yaml").read_text())
+    version = cluster.apply_lists(plans, allowances)
+    print(f"{example.name}: lists version {version} is in force at {len(cluster.entries)} entries")
+    job = read_job(folder, example.buyer)
+    shape = load.Shape(buyers=[job.buyer], slots=SLOTS, round_trip_ms=ROUND_TRIP_MS)
+    generator = load.Generator(shape, [entry.url for entry in cluster.entries])
+    record = asyncio.run(generator.run([job]))[0]
+    print(
+        f"{example.name}: job {record.job_id} of buyer {record.buyer}, {len(record.tokens)} tasks: "
+        f"{record.outcome.value} {record.detail}\n"
+        f"  response {record.response_ms:.0f} ms, ideal {record.ideal_ms:.0f} ms, "
+        f"{record.attempts} submissions"
+    )
+    return record
+
+
+def read_job(folder: pathlib.Path, buyer: str) -> load.Job:
+    """Return the example job, with a token in each payload that tells its tasks apart."""
+    body = json.loads((folder / "job.json").read_text())
+    tokens = yaml.safe_load((folder / "tokens.yaml").read_text())
+    secret = tokens["buyers"][buyer].removeprefix(f"{buyer}.")
+    tasks = [
+        load.Task(
+            each["kind"], {"token": f"{folder.name}/{index}"} | each["payload"], each["run_ms"]
+        )
+        for index, each in enumerate(body["tasks"])
+    ]
+    return load.Job(0.0, load.Buyer(buyer, secret), body["deadline_ms"], tasks)
+
+
+def summarize(cluster: clusters.Cluster, records: list[load.Record]) -> dict:
+    """Return the figures of the last line."""
+    report = load.summarize(records)
+    starts = cluster.starts()
+    complete = report.outcomes[load.Outcome.COMPLETE.value]
+    wasted = cluster.sum_metric("daisyfall_wasted_messages_total") + report.resubmissions
+    return {
+        "jobs": report.jobs,
+        "complete": complete,
+        "failed": report.jobs - complete,
+        "tasks": report.tasks,
+        "started": starts.total,
+        "started_twice": len(starts.twice),
+        "response_over_ideal_p50": round(report.response_over_ideal_p50, 3),
+        "wasted_messages_per_task": round(wasted / report.tasks, 4),
+    }
+
+
+def print_processes(cluster: clusters.Cluster) -> None:
+    """Print memory and processor time of each process."""
+    print(f"{'process':<12}{'memory MB':>12}{'CPU s':>8}")
+    for process in cluster.fleet.process_by_name.values():
+        usage = process.usage()
+        print(f"{process.name:<12}{usage.rss_mb:>12.1f}{usage.cpu_seconds:>8.2f}")
+
+
+def main() -> int:
+    """Run the demo; return the exit status."""
+    with processes.Fleet() as fleet:
+        cluster = clusters.start(fleet, entries=ENTRIES, agents=AGENTS)
+        print(f"started {len(fleet.process_by_name)} processes")
+        records = [run_example(cluster, example) for example in EXAMPLE_JOBS]
+        print_processes(cluster)
+        figures = summarize(cluster, records)
+    print(json.dumps(figures))
+    all_complete = figures["complete"] == figures["jobs"]
+    return 0 if all_complete and figures["started_twice"] == 0 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
