--- a/src/daisyfall/_wire.py
+++ b/src/daisyfall/_wire.py
@@ -241,6 +241,7 @@
     owner_id: str
     owner_incarnation: str
     duration_ms: int
+    peer_incarnation: str  # a promise of another incarnation would not be known to a taker
 
 
 @_message(33)
@@ -250,6 +251,7 @@
     request: int
     owner_id: str
     owner_incarnation: str
+    peer_incarnation: str
 
 
 @_message(34)
@@ -263,10 +265,11 @@
 
 @_message(35)
 class Ping:
-    """Heartbeat between entries; the answer is a `Reply`."""
+    """Heartbeat between entries; the answer is a `Reply` with the peer's lists version."""
 
     request: int
     lists_version: int
+    shards_released: bool = False
 
 
 def encode(message: Any) -> bytes:
