--- a/src/daisyfall_standins/cluster.py
+++ b/src/daisyfall_standins/cluster.py
@@ -2,25 +2,46 @@
 
 import collections
 import json
+import os
 import time
 import urllib.error
 import urllib.request
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 from prometheus_client import parser
 
-from daisyfall_standins import processes
+from daisyfall.version import _lists
+from daisyfall_standins import _shape, processes
 
 _CALL_TIMEOUT_SECONDS = 10.0
-_IN_FORCE_SECONDS = 10.0
+_WAIT_SECONDS = 20.0
 _POLL_SECONDS = 0.05
+# An allowance that limits nothing that a load on one machine reaches.
+_GENEROUS = {
+    "starts_per_second": 100_000,
+    "tasks_in_flight": 100_000,
+    "slots": 10_000,
+    "accelerators": 0,
+    "largest_job_tasks": 1900,
+    "longest_deadline_ms": 300_000,
+    "priority": 5,
+}
 
 
 class ClusterError(Exception):
     """A call of an operator failed; the text holds the status and the answer."""
 
 
+@attrs.frozen
+class ListsDocument:
+    """Both lists as an operator sends them."""
+
+    plans: dict
+    allowances: dict
+
+
 @attrs.frozen
 class Starts:
     """Starts as all runners together counted them."""
@@ -76,28 +97,37 @@
             self.runners.append(self.fleet.start_runner(f"runner-{number}", agent.url, **options))
         return agent
 
-    def apply_lists(self, plans: dict, allowances: dict) -> int:
+    def apply_lists(self, lists: ListsDocument) -> int:
         """Replace both lists through the first entry; return their version once in force."""
         url = f"{self.entries[0].url}/v1/lists"
         status, present = self.call("GET", url)
-        base = present.get("version", 0) if status == 200 else 0
-        body = {"base_version": base, "plans": plans, "allowances": allowances}
-        status, answer = self.call("PUT", url, body)
+        base = present["version"] if status == 200 else 0
+        status, answer = self.call("PUT", url, {"base_version": base} | attrs.asdict(lists))
         if status != 200:
             raise ClusterError(f"PUT {url}: status {status}, {answer}")
-        self.wait_lists(answer["version"])
-        return answer["version"]
+        version = answer["version"]
+        self._wait_entries("lists", lambda answer: answer.get("version", 0) >= version)
+        return version
+
+    def wait_upstreams(self, count: int) -> None:
+        """Return when every entry that runs counts this many ready upstreams."""
 
-    def wait_lists(self, version: int) -> None:
-        """Return when every entry that runs has this version of the lists in force."""
-        limit = time.monotonic() + _IN_FORCE_SECONDS
+        def count_ready(answer: dict) -> int:
+            return sum(each["state"] == "ready" for each in answer.get("upstreams", []))
+
+        self._wait_entries("upstreams", lambda answer: count_ready(answer) >= count)
+
+    def _wait_entries(self, resource: str, condition: Callable[[dict], bool]) -> None:
+        limit = time.monotonic() + _WAIT_SECONDS
         for entry in self.entries:
             while entry.popen.poll() is None:
-                status, answer = self.call("GET", f"{entry.url}/v1/lists")
-                if status == 200 and answer.get("version", 0) >= version:
+                _, answer = self.call("GET", f"{entry.url}/v1/{resource}")
+                if condition(answer):
                     break
                 if time.monotonic() > limit:
-                    raise ClusterError(f"{entry.name} lacks lists version {version}: {answer}")
+                    raise ClusterError(
+                        f"{entry.name}: {resource} after {_WAIT_SECONDS} s: {answer}"
+                    )
                 time.sleep(_POLL_SECONDS)
 
     def call(self, method: str, url: str, body: Any = None) -> tuple[int, dict]:
@@ -121,20 +151,41 @@
 
 
 def start(
-    fleet: processes.Fleet, *, entries: int = 2, agents: int = 3, runner_options: dict | None = None
+    fleet: processes.Fleet,
+    lists: ListsDocument,
+    *,
+    entries: int = 2,
+    agents: int = 3,
+    runner_options: dict | None = None,
+    entry_changes: dict | None = None,
+    agent_changes: dict | None = None,
 ) -> Cluster:
-    """Start a deployment and return when every process is ready."""
+    """Start a deployment; return when the lists are in force and every process is ready."""
     cluster = Cluster(fleet, fleet.start_table(), fleet.start_objects())
     fleet.wait_ready()
     for _ in range(entries):
-        cluster.add_entry()
-    fleet.wait_ready()
+        cluster.add_entry(**(entry_changes or {}))
+    # An entry without lists serves its operators, but it is not ready.
+    for entry in cluster.entries:
+        entry.wait_ready(path="/healthz")
+    cluster.apply_lists(lists)
     for _ in range(agents):
-        cluster.add_agent(runner_options)
+        cluster.add_agent(runner_options, **(agent_changes or {}))
     fleet.wait_ready()
+    cluster.wait_upstreams(agents)
     return cluster
 
 
+def write_lists(buyers: list[_shape.Buyer], **changes) -> ListsDocument:
+    """Return lists with one plan for all buyers; `changes` replace keys of its allowance."""
+    rows = {}
+    for buyer in buyers:
+        salt = os.urandom(8).hex()
+        token_hash = _lists.hash_token(buyer.secret, salt)
+        rows[buyer.name] = {"plan": "all", "salt": salt, "token_hash": token_hash}
+    return ListsDocument({"buyers": rows}, {"plans": {"all": _GENEROUS | changes}})
+
+
 def read_metric(process: processes.Process, name: str) -> dict[tuple, float]:
     """Return a sample's values by label values."""
     with urllib.request.urlopen(f"{process.url}/metrics", timeout=_CALL_TIMEOUT_SECONDS) as reply:
--- a/src/daisyfall_standins/demo.py
+++ b/src/daisyfall_standins/demo.py
@@ -37,9 +37,7 @@
 def run_example(cluster: clusters.Cluster, example: Example) -> load.Record:
     """Put the example's lists in force, submit its job and print the outcome."""
     folder = EXAMPLES / example.name
-    plans = yaml.safe_load((folder / "plans.yaml").read_text())
-    allowances = yaml.safe_load((folder / "allowances.yaml").read_text())
-    version = cluster.apply_lists(plans, allowances)
+    version = cluster.apply_lists(read_lists(folder))
     print(f"{example.name}: lists version {version} is in force at {len(cluster.entries)} entries")
     job = read_job(folder, example.buyer)
     shape = load.Shape(buyers=[job.buyer], slots=SLOTS, round_trip_ms=ROUND_TRIP_MS)
@@ -54,6 +52,13 @@
     return record
 
 
+def read_lists(folder: pathlib.Path) -> clusters.ListsDocument:
+    """Return the lists in a folder."""
+    plans = yaml.safe_load((folder / "plans.yaml").read_text())
+    allowances = yaml.safe_load((folder / "allowances.yaml").read_text())
+    return clusters.ListsDocument(plans, allowances)
+
+
 def read_job(folder: pathlib.Path, buyer: str) -> load.Job:
     """Return the example job, with a token in each payload that tells its tasks apart."""
     body = json.loads((folder / "job.json").read_text())
@@ -73,7 +78,8 @@
     report = load.summarize(records)
     starts = cluster.starts()
     complete = report.outcomes[load.Outcome.COMPLETE.value]
-    wasted = cluster.sum_metric("daisyfall_wasted_messages_total") + report.resubmissions
+    # A resubmission costs a request and its answer, which no daemon can tell from first ones.
+    wasted = cluster.sum_metric("daisyfall_wasted_messages_total") + 2 * report.resubmissions
     return {
         "jobs": report.jobs,
         "complete": complete,
@@ -97,7 +103,9 @@
 def main() -> int:
     """Run the demo; return the exit status."""
     with processes.Fleet() as fleet:
-        cluster = clusters.start(fleet, entries=ENTRIES, agents=AGENTS)
+        cluster = clusters.start(
+            fleet, read_lists(EXAMPLES / EXAMPLE_JOBS[0].name), entries=ENTRIES, agents=AGENTS
+        )
         print(f"started {len(fleet.process_by_name)} processes")
         records = [run_example(cluster, example) for example in EXAMPLE_JOBS]
         print_processes(cluster)
--- a/src/daisyfall_standins/processes.py
+++ b/src/daisyfall_standins/processes.py
@@ -5,7 +5,6 @@
 in the main thread, because it handles SIGTERM.
 """
 
-import hashlib
 import os
 import pathlib
 import random
@@ -20,6 +19,8 @@
 import attrs
 import yaml
 
+from daisyfall.version import _lists
+
 HOST = "127.0.0.1"
 # Below the kernel's ephemeral range, so that an outgoing connection never takes a port
 # between its choice and the start of the process.
@@ -62,21 +63,23 @@
         """Return the process id."""
         return self.popen.pid
 
-    def wait_ready(self, timeout_seconds: float = _READY_TIMEOUT_SECONDS) -> None:
-        """Return when `/readyz` answers 200; raise `ProcessError` at the limit or an early end."""
+    def wait_ready(
+        self, timeout_seconds: float = _READY_TIMEOUT_SECONDS, path: str = "/readyz"
+    ) -> None:
+        """Return when `path` answers 200; raise `ProcessError` at the limit or an early end."""
         limit = time.monotonic() + timeout_seconds
         while time.monotonic() < limit:
             if self.popen.poll() is not None:
                 raise ProcessError(f"{self.name} ended with {self.popen.returncode}\n{self.tail()}")
-            if self.is_ready():
+            if self.is_ready(path):
                 return
             time.sleep(_POLL_SECONDS)
         raise ProcessError(f"{self.name} is not ready after {timeout_seconds} s\n{self.tail()}")
 
-    def is_ready(self) -> bool:
-        """Tell whether `/readyz` answers 200 now."""
+    def is_ready(self, path: str = "/readyz") -> bool:
+        """Tell whether `path` answers 200 now."""
         try:
-            with urllib.request.urlopen(f"{self.url}/readyz", timeout=1) as response:
+            with urllib.request.urlopen(f"{self.url}{path}", timeout=1) as response:
                 return response.status == 200
         except OSError:
             return False
@@ -202,7 +205,7 @@
         settings = self._daemon_settings(name, "entry", table, objects)
         settings["peer"] = {"host": HOST, "port": free_port()}
         salt = os.urandom(8).hex()
-        settings["operator_tokens"] = [f"{salt}${hash_secret(salt, self.operator_token)}"]
+        settings["operator_tokens"] = [f"{salt}${_lists.hash_token(self.operator_token, salt)}"]
         return settings | changes
 
     def agent_settings(self, name: str, table: Process, objects: Process, **changes) -> dict:
@@ -240,8 +243,3 @@
         _chosen_ports.add(port)
         return port
     raise ProcessError(f"no free port in {_PORTS}")
-
-
-def hash_secret(salt: str, secret: str) -> str:
-    """Return the hex SHA-256 of salt + secret, as the settings and the lists hold it."""
-    return hashlib.sha256((salt + secret).encode()).hexdigest()
