--- a/src/daisyfall/_ids.py
+++ b/src/daisyfall/_ids.py
@@ -1,5 +1,6 @@
 """Job ids (UUIDv7, RFC 9562), incarnation ids, and the shard of a buyer."""
 
+import functools
 import os
 import uuid
 
@@ -33,11 +34,12 @@
     return os.urandom(8).hex()
 
 
+@functools.lru_cache(maxsize=65536)
 def shard_of(buyer: str, shard_count: int) -> int:
     """Return the ownership shard of a buyer."""
-    return xxhash.xxh64_intdigest(buyer) % shard_count
+    return xxhash.xxh64_intdigest(buyer.encode()) % shard_count
 
 
 def rendezvous_winner(key: str, ids: list[str]) -> str:
     """Return the id with the highest rendezvous hash weight for `key`; `ids` must not be empty."""
-    return max(ids, key=lambda each: (xxhash.xxh64_intdigest(f"{key}|{each}"), each))
+    return max(ids, key=lambda each: (xxhash.xxh64_intdigest(f"{key}|{each}".encode()), each))
--- a/src/daisyfall/process/_entry.py
+++ b/src/daisyfall/process/_entry.py
@@ -313,7 +313,12 @@
     def _spawn(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.opt(exception=task.exception()).error("background task failed")
 
 
 async def run(settings: _settings.Settings) -> None:
--- a/src/daisyfall/process/_registry.py
+++ b/src/daisyfall/process/_registry.py
@@ -109,7 +109,11 @@
         interval = self._settings.lease.poll_ms / 1000
         while True:
             self._poke.clear()
-            await self._tick()
+            try:
+                await self._tick()
+            except Exception:
+                # Without renewals the lease lapses by itself; the loop has to go on.
+                logger.exception("renewal failed unexpectedly")
             try:
                 await asyncio.wait_for(self._poke.wait(), interval)
             except TimeoutError:
--- a/src/daisyfall/request/_api.py
+++ b/src/daisyfall/request/_api.py
@@ -5,6 +5,7 @@
 import json
 
 from aiohttp import web
+from loguru import logger
 
 from daisyfall import errors
 from daisyfall.process import _metrics, _settings
@@ -63,6 +64,10 @@
             except errors.DispatchError as error:
                 self._metrics.refused(error.kind)
                 return failure(error, getattr(error, "job_id", job_id))
+            except Exception:
+                logger.exception("request failed unexpectedly")
+                self._metrics.refused(errors.Kind.INTERNAL)
+                return failure(errors.DispatchError(errors.Kind.INTERNAL), job_id)
 
         return guarded
 
