Read bitmaps as integers and let unknown starts be asked again

Cause: agents send bitmaps as integers, the entry converted them from bytes, so each fence report ended the connection; all agents counted as missing and 38 of 125 jobs failed with start_unknown. That failure was remembered, so the 20 resubmissions of each job could not succeed after the agents were back. Change: the report is taken as it comes; start_unknown is not remembered; kinds whose record can't change are answered with retry never.

--- a/src/daisyfall/connection/_agent_session.py
+++ b/src/daisyfall/connection/_agent_session.py
@@ -5,6 +5,7 @@
 from typing import Any, Protocol
 
 import websockets
+from loguru import logger
 
 from daisyfall import _wire
 from daisyfall.connection import _outbox
@@ -64,6 +65,8 @@
                 events.agent_message(self, _wire.decode(data))
         except websockets.ConnectionClosed:
             pass
+        except _wire.WireError as error:
+            logger.bind(upstream=self.agent_id, reason=str(error)).warning("message refused")
         finally:
             self._outbox.close()
             events.agent_disconnected(self)
--- a/src/daisyfall/errors.py
+++ b/src/daisyfall/errors.py
@@ -117,13 +117,17 @@
     Kind.CANCELLED_RUNNING: Answer(410, _MAY, Retry.NEW_ID, "the job was cancelled after a start"),
     Kind.DEADLINE_PASSED: Answer(504, _NOT, Retry.NEW_ID, "the deadline passed before any start"),
     Kind.DEADLINE_PASSED_RUNNING: Answer(
-        504, _MAY, Retry.SAME_ID, "the deadline passed after a task had started"
+        504, _MAY, Retry.NEVER, "the deadline passed after a task had started"
     ),
     Kind.TASK_FAILED: Answer(502, _MAY, Retry.NEW_ID, "a task ran and failed"),
-    Kind.UPSTREAM_LOST: Answer(502, _MAY, Retry.SAME_ID, "an upstream was lost with a task on it"),
+    Kind.UPSTREAM_LOST: Answer(502, _MAY, Retry.NEVER, "an upstream was lost with a task on it"),
     Kind.RESULT_LOST: Answer(502, _MAY, Retry.NEVER, "a task finished but its result is gone"),
     Kind.START_UNKNOWN: Answer(
-        502, _MAY, Retry.SAME_ID, "an earlier owner may have started a task at a lost upstream"
+        502,
+        _MAY,
+        Retry.SAME_ID,
+        "an earlier owner may have started a task at a lost upstream",
+        1000,
     ),
     Kind.OUTCOME_UNKNOWN: Answer(
         504, _MAY, Retry.SAME_ID, "the owning entry was lost before it answered", 500
--- a/src/daisyfall/request/_delivery.py
+++ b/src/daisyfall/request/_delivery.py
@@ -375,8 +375,8 @@
                 session.incarnation,
                 digest,
                 count,
-                int.from_bytes(started, "little"),
-                int.from_bytes(finished, "little"),
+                started,
+                finished,
             )
             key = (buyer, job_id)
             if key in waiting:
--- a/src/daisyfall/request/_jobs.py
+++ b/src/daisyfall/request/_jobs.py
@@ -132,8 +132,8 @@
             case Complete(body=body):
                 self._remember(job, Record(job.digest, job.work.shard, job.id_time_ms, body, None))
             case Failed(error=error):
-                # A refusal leaves nothing behind: the same id may be submitted again.
-                if errors.ANSWERS[error.kind].run is errors.Run.MAY_HAVE_RUN or job.sent:
+                # A job of which nothing was sent may be submitted again with the same id.
+                if job.sent:
                     record = Record(job.digest, job.work.shard, job.id_time_ms, None, error)
                     self._remember(job, record)
             case Relinquished():
--- a/src/daisyfall/request/_owner.py
+++ b/src/daisyfall/request/_owner.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import functools
+import operator
 
 import attrs
 
@@ -70,11 +72,12 @@
             submission.buyer, submission.job_id, shard, tasks, deadline, digest, len(tasks)
         )
         job = _jobs.new_job(work, submission.digest, submission.id_time_ms, now)
-        reports = self.reports.take(shard, job.key)
+        reports = self.reports.of(job.key)
         if reports:
             self._join_reported(job, reports, holding)
         elif not _ownership.may_start_unreported(holding, submission.id_time_ms):
-            self._fail(job, errors.DispatchError(errors.Kind.START_UNKNOWN), remember=True)
+            # Not remembered: the missing agent may come back and tell what it started.
+            self._fail(job, errors.DispatchError(errors.Kind.START_UNKNOWN))
         else:
             self._dispatcher.admit(work, now)
             self.jobs.add(job)
@@ -97,24 +100,22 @@
     ) -> None:
         """Take over a job that agents have started tasks of (rule 6)."""
         if any(report.digest != job.digest for report in reports.values()):
-            for agent_id, report in reports.items():
-                self.reports.add(job.work.shard, agent_id, job.key, report)
             raise _conflict(job.work.job_id)
+        started = functools.reduce(operator.or_, (each.started for each in reports.values()))
+        unreported = [task for task in job.work.tasks if not started >> task.index & 1]
+        if unreported and not _ownership.may_start_unreported(holding, job.id_time_ms):
+            self._fail(job, errors.DispatchError(errors.Kind.START_UNKNOWN))
+            return
+        self.reports.forget(job.work.shard, job.key)
         job.sent = True
         self.jobs.add(job)
-        started = 0
         for agent_id, report in reports.items():
-            started |= report.started
             running = _reports.bits_of(report.started & ~report.finished)
             finished = _reports.bits_of(report.finished)
             job.fetching.update(finished)
             if not self._delivery.expect(agent_id, report.incarnation, job.key, running, finished):
                 self._fail(job, errors.DispatchError(errors.Kind.UPSTREAM_LOST))
                 return
-        unreported = [task for task in job.work.tasks if not started >> task.index & 1]
-        if unreported and not _ownership.may_start_unreported(holding, job.id_time_ms):
-            self._fail(job, errors.DispatchError(errors.Kind.START_UNKNOWN))
-            return
         job.deferred = unreported
         self._start_deferred(job)
 
@@ -197,9 +198,8 @@
             self._metrics.responded(elapsed_ms / ideal_ms)
         self.jobs.settle(job, _jobs.Complete(job.body()), _clock.wall_ms())
 
-    def _fail(self, job: _jobs.Job, error: errors.DispatchError, remember: bool = False) -> None:
+    def _fail(self, job: _jobs.Job, error: errors.DispatchError) -> None:
         _, sent_by_agent = self._dispatcher.remove_work(job.key)
-        job.sent = job.sent or remember
         self._delivery.cancel(job.key, sent_by_agent)
         self._metrics.refused(error.kind)
         self.jobs.settle(job, _jobs.Failed(error), _clock.wall_ms())
--- a/src/daisyfall/request/_reports.py
+++ b/src/daisyfall/request/_reports.py
@@ -49,10 +49,14 @@
         if report is not None:
             report.finished |= 1 << index
 
-    def take(self, shard: int, key: _work.Key) -> dict[str, Report]:
-        """Return and forget the reports on a job, by agent."""
+    def of(self, key: _work.Key) -> dict[str, Report]:
+        """Return the reports on a job, by agent."""
+        return self._by_key.get(key, {})
+
+    def forget(self, shard: int, key: _work.Key) -> None:
+        """Forget the reports on a job that is known from now on."""
         self._keys_by_shard[shard].discard(key)
-        return self._by_key.pop(key, {})
+        self._by_key.pop(key, None)
 
     def drop_shards(self, shards: set[int]) -> None:
         """Forget the reports of shards that are no longer owned."""
