--- /dev/null
+++ b/features/steps/processes_steps.py
@@ -0,0 +1,72 @@
+"""Steps of the library that runs daemons and stand-ins as processes."""
+
+import pathlib
+import tempfile
+
+import yaml
+from behave import given, then, when
+
+from daisyfall.process import _settings_load
+from daisyfall_standins import processes
+
+
+@given("the fleet runs a table and two runners")
+def start_fleet(context):
+    context.fleet = processes.Fleet()
+    context.add_cleanup(context.fleet.end)
+    context.fleet.start_table()
+    context.fleet_runner = context.fleet.start_runner("runner-1", "")
+    context.fleet.start_runner("runner-2", "")
+    context.fleet.wait_ready()
+
+
+@when("the fleet's first runner is {state:w}")
+def change_state(context, state):
+    process = context.fleet_runner
+    assert process.usage().rss_mb > 1, process.usage()
+    match state:
+        case "paused":
+            process.pause()
+        case "killed":
+            process.kill()
+        case "terminated":
+            assert process.terminate() == 0, process.tail()
+
+
+@when("the fleet ends")
+def end_fleet(context):
+    context.fleet.end()
+
+
+@then("no process of the fleet is left")
+def check_ended(context):
+    processes_left = [
+        each.name
+        for each in context.fleet.process_by_name.values()
+        if each.popen.returncode is None or pathlib.Path(f"/proc/{each.pid}/status").exists()
+    ]
+    assert not processes_left, processes_left
+
+
+@then("the fleet reports the log of a daemon with wrong settings")
+def check_report(context):
+    with processes.Fleet() as fleet:
+        process = fleet.start_daemon("entry-1", {"http": {"port": 1}, "role": "cook"})
+        try:
+            process.wait_ready()
+        except processes.ProcessError as error:
+            assert "cook" in str(error), error
+        else:
+            raise AssertionError("a daemon with wrong settings became ready")
+
+
+@then("the fleet writes settings for an entry and an agent that daisyfalld accepts")
+def check_settings(context):
+    with processes.Fleet() as fleet, tempfile.TemporaryDirectory() as folder:
+        table, objects = fleet.start_table(), fleet.start_objects()
+        entry = fleet.entry_settings("entry-1", table, objects)
+        agent = fleet.agent_settings("agent-1", table, objects, entries=["127.0.0.1:7201"])
+        for settings in (entry, agent):
+            path = pathlib.Path(folder) / "settings.yaml"
+            path.write_text(yaml.safe_dump(settings))
+            assert _settings_load.load(str(path), []).id == settings["id"]
--- a/src/daisyfall_standins/load.py
+++ b/src/daisyfall_standins/load.py
@@ -24,7 +24,7 @@
 Job = _shape.Job
 Task = _shape.Task
 
-_ATTEMPTS = 20
+ATTEMPTS = 20  # by default; their waits add up to about 12 s
 _FIRST_BACKOFF_MS = 20.0
 _LAST_BACKOFF_MS = 1000.0
 # An attempt may take the job's deadline and this, so that a lost answer ends it.
@@ -96,11 +96,12 @@
 class Generator:
     """Submits jobs to entries; `entries` are base URLs.
 
-    A job ends after its deadline and a margin, or after `_ATTEMPTS` attempts.
+    A job ends after its deadline and a margin, or after `attempts` attempts.
     """
 
-    def __init__(self, shape: Shape, entries: list[str]):
+    def __init__(self, shape: Shape, entries: list[str], attempts: int = ATTEMPTS):
         self._shape = shape
+        self._attempts = attempts
         self._entries = entries
         self._turn = 0
         self._random = random.Random(shape.seed)
@@ -132,7 +133,7 @@
             lag_ms=max(0.0, _ms_since(planned)),
         )
         limit_ms = job.deadline_ms + _ANSWER_MARGIN_MS
-        while record.attempts < _ATTEMPTS and _ms_since(planned) < limit_ms:
+        while record.attempts < self._attempts and _ms_since(planned) < limit_ms:
             wait_ms = await self._attempt(job, record)
             if wait_ms is None:
                 break
--- a/src/daisyfall_standins/objects.py
+++ b/src/daisyfall_standins/objects.py
@@ -22,7 +22,7 @@
     def __init__(self, settings: Settings):
         self.faults = _faults.FaultSwitch(_is_write, settings.seed)
         self._settings = settings
-        self._data_by_name: dict[str, bytes] = {}
+        self.data_by_name: dict[str, bytes] = {}
         self._count_by_name = {"reads": 0, "writes": 0}
 
     def application(self) -> web.Application:
@@ -37,20 +37,20 @@
     async def _list(self, request: web.Request) -> web.Response:
         self._count_by_name["reads"] += 1
         prefix = request.query.get("prefix", "")
-        names = sorted(name for name in self._data_by_name if name.startswith(prefix))
+        names = sorted(name for name in self.data_by_name if name.startswith(prefix))
         return web.json_response({"names": names})
 
     async def _get(self, request: web.Request) -> web.Response:
         self._count_by_name["reads"] += 1
         name = request.match_info["name"]
-        if name not in self._data_by_name:
+        if name not in self.data_by_name:
             return web.json_response({"error": f"no object {name!r}"}, status=404)
-        return web.Response(body=self._data_by_name[name])
+        return web.Response(body=self.data_by_name[name])
 
     async def _put(self, request: web.Request) -> web.Response:
         data = await request.read()
         await asyncio.sleep(self._settings.write_ms / 1000)
-        self._data_by_name[request.match_info["name"]] = data
+        self.data_by_name[request.match_info["name"]] = data
         self._count_by_name["writes"] += 1
         return web.json_response({"bytes": len(data)})
 
