--- a/src/daisyfall/_ids.py
+++ b/src/daisyfall/_ids.py
@@ -35,9 +35,9 @@
 
 def shard_of(buyer: str, shard_count: int) -> int:
     """Return the ownership shard of a buyer."""
-    return xxhash.xxh64_intdigest(buyer) % shard_count
+    return xxhash.xxh64_intdigest(buyer.encode()) % shard_count
 
 
 def rendezvous_winner(key: str, ids: list[str]) -> str:
     """Return the id with the highest rendezvous hash weight for `key`; `ids` must not be empty."""
-    return max(ids, key=lambda each: (xxhash.xxh64_intdigest(f"{key}|{each}"), each))
+    return max(ids, key=lambda each: (xxhash.xxh64_intdigest(f"{key}|{each}".encode()), each))
