--- a/src/daisyfall_standins/cluster.py
+++ b/src/daisyfall_standins/cluster.py
@@ -12,6 +12,7 @@
 import attrs
 from prometheus_client import parser
 
+from daisyfall import _ids
 from daisyfall.version import _lists
 from daisyfall_standins import _shape, processes
 
@@ -117,6 +118,23 @@
 
         self._wait_entries("upstreams", lambda answer: count_ready(answer) >= count)
 
+    def wait_balanced(self) -> None:
+        """Return when each shard is owned by the running entry that wins its rendezvous hash.
+
+        An entry that starts gets its shards seconds later, which moves jobs between entries.
+        """
+        live = [entry.name for entry in self.entries if entry.popen.poll() is None]
+
+        def is_balanced(answer: dict) -> bool:
+            owners = answer.get("owners", [])
+            return bool(owners) and all(
+                each["owner"] == _ids.rendezvous_winner(str(each["shard"]), live)
+                and each["state"] in ("owned", "active")
+                for each in owners
+            )
+
+        self._wait_entries("owners", is_balanced)
+
     def _wait_entries(self, resource: str, condition: Callable[[dict], bool]) -> None:
         limit = time.monotonic() + _WAIT_SECONDS
         for entry in self.entries:
