--- a/src/daisyfall/process/_settings.py
+++ b/src/daisyfall/process/_settings.py
@@ -61,6 +61,7 @@
     retry_budget_percent: int = 10
     retry_backoff_ms: int = 20
     removed_share_percent: int = 33
+    job_order: str = "fifo"  # between the jobs of one buyer: fifo or slack
 
 
 @attrs.frozen
--- a/src/daisyfall/request/_dispatcher.py
+++ b/src/daisyfall/request/_dispatcher.py
@@ -7,9 +7,7 @@
 import heapq
 import random
 
-import attrs
-
-from daisyfall import _wire, errors
+from daisyfall import errors
 from daisyfall.process import _settings
 from daisyfall.request import (
     _admission,
@@ -17,25 +15,18 @@
     _explain,
     _flight,
     _groups,
+    _health,
     _limits,
     _queue,
     _retries,
     _routing,
+    _scheduler,
     _work,
 )
 from daisyfall.version import _lists
 
 Upstream = _groups.Upstream
-
-
-@attrs.define(slots=True, eq=False)
-class Assignment:
-    """Tasks of one job that are to be sent to one agent, in this order."""
-
-    agent_id: str
-    incarnation: str
-    work: _work.Work
-    tasks: list[_work.Task]
+Assignment = _scheduler.Assignment
 
 
 class Dispatcher:
@@ -50,14 +41,16 @@
     ) -> None:
         self._jobs_settings = jobs
         self._lists: _lists.Lists | None = None
-        self._queue = _queue.FairQueue()
+        self._queue = _queue.FairQueue(settings.job_order)
         self._router = _routing.Router(settings, data_centre, rng)
         self._estimates = _estimates.Estimates()
         self._retries = _retries.Retries(settings, rng)
-        self._flight = _flight.Flight(self._queue, self._router)
+        self._health = _health.Health(settings)
+        self._flight = _flight.Flight(self._queue, self._router, self._health, self._estimates)
+        self._scheduler = _scheduler.Scheduler(
+            self._queue, self._router, self._flight, self._retries
+        )
         self._job_by_key = self._flight.job_by_key
-        self._sequence = 0
-        self._rate_heap: list[tuple[float, int, _queue.Buyer]] = []
         self._deadline_heap: list[tuple[float, int, _queue.Job]] = []
         self._expired: list[_work.Key] = []
         self._activated_at: dict[int, float] = {}
@@ -103,9 +96,14 @@
 
     def update_upstream(self, state: Upstream, now: float) -> None:
         """Take over what is known of an upstream; a new incarnation is removed first."""
+        known = self._router.agent_by_id.get(state.agent_id)
+        if known is not None:
+            self._health.set_usable(known, state.usable, now)
         agent = self._router.update(state, now)
+        if known is None:
+            self._health.join(agent, now)
         self._router.load(agent, state.running + state.queued, now)
-        self._router.set_share(agent, state.slots)
+        self._router.set_share(agent, self._health.share(agent))
         self._flight.wake_resource_waiters()
 
     def update_load(self, agent_id: str, running: int, queued: int, now: float) -> None:
@@ -118,7 +116,10 @@
     def remove_upstream(self, agent_id: str) -> list[tuple[_work.Key, int]]:
         """Forget an agent; return the tasks outstanding there, which count no longer."""
         agent = self._router.remove(agent_id)
-        return self._flight.release_agent(agent) if agent is not None else []
+        if agent is None:
+            return []
+        self._health.leave(agent, self._router.now)
+        return self._flight.release_agent(agent)
 
     # Work.
 
@@ -146,7 +147,7 @@
         job.work = work
         job.removed = False
         self._watch_deadline(job)
-        self._queue.add(job, entries)
+        self._queue.add(job, entries, now)
 
     def _watch_deadline(self, job: _queue.Job) -> None:
         heap = self._deadline_heap
@@ -180,106 +181,16 @@
 
     def assign(self, now: float) -> list[Assignment]:
         """Return the starts that are due now; each is counted as sent."""
-        self._advance(now)
-        batches: dict[tuple, Assignment] = {}
-        pools = self._router.pool_by_key.values()
-        while self._queue.queued:
-            best = None
-            limit_ms = float("inf")  # virtual time up to which the first buyer is served
-            for pool in pools:
-                if pool.heap and pool.is_open():
-                    if best is None or pool.heap[0] < best.heap[0]:
-                        if best is not None:
-                            limit_ms = min(limit_ms, best.heap[0][0])
-                        best = pool
-                    else:
-                        limit_ms = min(limit_ms, pool.heap[0][0])
-            if best is None:
-                break
-            self._serve(best, limit_ms, now, batches)
-        for pool in pools:
-            for buyer in pool.passed:
-                self._queue.offer(buyer)
-            pool.passed.clear()
-        return list(batches.values())
-
-    def _serve(self, pool: _groups.Pool, limit_ms: float, now: float, batches: dict) -> None:
-        """Serve the first buyer of a pool until it is another's turn or the buyer has to wait."""
-        queue, router = self._queue, self._router
-        buyer = heapq.heappop(pool.heap)[2]
-        buyer.listed = False
-        if pool.heap:
-            limit_ms = min(limit_ms, pool.heap[0][0])
-        usage = buyer.usage
-        usage.fill(now)
-        while buyer.virtual_ms <= limit_ms:
-            lane = buyer.next_lane()
-            if lane is None:
-                return
-            room, limit = usage.room(lane.key[1])
-            if limit is _limits.Limit.ACCELERATORS:
-                lane.blocked = limit.value
-                continue
-            if limit is not None:
-                self._block(buyer, limit)
-                return
-            part = lane.parts[0]
-            entry = part.entries[-1]
-            agent = router.pick(pool, part.job, entry, queue.queued)
-            if agent is None:
-                if lane.key == _queue.PLAIN:
-                    pool.passed.append(buyer)
-                    return
-                self._flight.wait_for_resource(buyer, lane)
-                continue
-            plain = lane.key == _queue.PLAIN
-            room = min(room, router.room(agent, entry[0])) if plain else 1
-            self._start(agent, part.job, queue.take(lane, part, room), now, batches)
-        queue.offer(buyer)
-
-    def _start(
-        self,
-        agent: _groups.Agent,
-        job: _queue.Job,
-        entries: list[_queue.Entry],
-        now: float,
-        batches: dict,
-    ) -> None:
-        self._flight.send(job, agent, entries, now)
-        job.buyer.usage.tokens -= len(entries)
-        self._retries.count_starts(len(entries))
-        tasks = [entry[4] for entry in entries]
-        batch_key = (job.key, agent)
-        batch = batches.get(batch_key)
-        if batch is None:
-            upstream = agent.upstream
-            batches[batch_key] = Assignment(
-                upstream.agent_id, upstream.incarnation, job.work, tasks
-            )
-        else:
-            batch.tasks.extend(tasks)
-
-    def _block(self, buyer: _queue.Buyer, limit: _limits.Limit) -> None:
-        buyer.blocked = limit
-        if limit is _limits.Limit.RATE:
-            at = buyer.usage.next_token(buyer.queued)
-            if at is not None:
-                self._sequence += 1
-                heapq.heappush(self._rate_heap, (at, self._sequence, buyer))
-
-    def _advance(self, now: float) -> None:
-        """Do what is due by time, and bring the agents' load up to date."""
         self._expire(now)
-        while self._rate_heap and self._rate_heap[0][0] <= now:
-            _, _, buyer = heapq.heappop(self._rate_heap)
-            if buyer.blocked is _limits.Limit.RATE:
-                self._queue.unblock(buyer)
         for job, index in self._retries.due(now):
             entry = job.delayed.pop(index, None)
             if entry is not None:
                 self._queue.put_back(job, entry)
         self._router.decay(now)
+        for agent in self._health.advance(now):
+            self._flight.changed_shares.add(agent)
         self._flight.refresh_agents()
+        return self._scheduler.assign(now)
 
     def _expire(self, now: float) -> None:
         heap = self._deadline_heap
@@ -302,9 +213,7 @@
         job = self._job_by_key.get(key)
         if job is None or index not in job.sent:
             return
-        entry = self._flight.release(job, index)[1]
-        if outcome == _wire.DONE:
-            self._estimates.learn(key[0], entry[4].kind, run_ms)
+        self._flight.judge(job, index, outcome, run_ms, now)
         if not job.sent:
             self._flight.forget_if_idle(job)
 
@@ -313,7 +222,9 @@
         job = self._job_by_key.get(key)
         if job is None or index not in job.sent:
             return False
-        entry = self._flight.release(job, index)[1]
+        agent, entry = self._flight.release(job, index)
+        if reason not in _retries.DELIBERATE:
+            self._flight.refused(agent, key, now)
         if job.removed or job.work is None:
             self._flight.forget_if_idle(job)
             return False
@@ -363,14 +274,14 @@
         times = [heap[0][0]] if heap else []
         times.append(self._retries.next_due())
         if self._queue.queued:
-            times.append(self._router.next_decay())
-            times.append(self._rate_heap[0][0] if self._rate_heap else None)
+            times += [self._router.next_decay(), self._health.next_due()]
+            times.append(self._scheduler.next_due())
         due = [time for time in times if time is not None]
         return max(now, min(due)) if due else None
 
     def recalls(self, now: float) -> list[str]:
         """Return the agents that were taken out and whose queued work is to be recalled."""
-        return []
+        return self._health.recalls()
 
     def explain(self, key: _work.Key, now: float) -> dict:
         """Return why a job waits, or what it waits for."""
@@ -382,7 +293,9 @@
 
     def snapshot(self) -> dict:
         """Return counts for the status page and the metrics."""
-        return _explain.snapshot(self._queue, self._router, self._retries, len(self._job_by_key))
+        return _explain.snapshot(
+            self._queue, self._router, self._retries, self._health, len(self._job_by_key)
+        )
 
 
 _LONG_AGO = float("-inf")
--- a/src/daisyfall/request/_explain.py
+++ b/src/daisyfall/request/_explain.py
@@ -1,6 +1,6 @@
 """Why a job waits, and the counts of a dispatcher."""
 
-from daisyfall.request import _queue, _retries, _routing
+from daisyfall.request import _health, _queue, _retries, _routing
 
 
 def explain(job: _queue.Job, queue: _queue.FairQueue, now: float) -> dict:
@@ -37,16 +37,17 @@
         return f"resource {blocked[0]}"
     if not buyer.pool.slots():
         return "no usable upstream"
-    earlier = any(
-        part.entries and part.job.sequence < job.sequence
-        for lane in buyer.lanes.values()
-        for part in lane.parts
-    )
+    heads = [lane.head() for lane in buyer.lanes.values()]
+    earlier = not any(head is not None and head.job is job for head in heads)
     return "earlier jobs of the buyer" if earlier else "a free slot"
 
 
 def snapshot(
-    queue: _queue.FairQueue, router: _routing.Router, retries: _retries.Retries, jobs: int
+    queue: _queue.FairQueue,
+    router: _routing.Router,
+    retries: _retries.Retries,
+    health: _health.Health,
+    jobs: int,
 ) -> dict:
     """Return counts by buyer and agent."""
     agents = router.agent_by_id
@@ -62,5 +63,6 @@
         "in_flight_by_agent": {name: agent.own for name, agent in agents.items()},
         "foreign_by_agent": {name: agent.foreign for name, agent in agents.items()},
         "share_by_agent": {name: agent.share for name, agent in agents.items()},
+        "health_by_agent": {name: _health.describe(health.evidence_by_id[name]) for name in agents},
         "retries_by_reason": dict(retries.count_by_reason),
     }
--- a/src/daisyfall/request/_flight.py
+++ b/src/daisyfall/request/_flight.py
@@ -1,6 +1,7 @@
 """Tasks that were sent and not yet reported, and what their end sets free."""
 
-from daisyfall.request import _groups, _limits, _queue, _routing, _work
+from daisyfall import _wire
+from daisyfall.request import _estimates, _groups, _health, _limits, _queue, _routing, _work
 
 UPSTREAM = "upstream"  # a lane waits for memory or accelerators of an upstream
 _BY_USE = (_limits.Limit.IN_FLIGHT, _limits.Limit.SLOTS)
@@ -9,13 +10,22 @@
 class Flight:
     """The known jobs, and the counts of sent tasks by buyer, agent, rack and job."""
 
-    def __init__(self, queue: _queue.FairQueue, router: _routing.Router) -> None:
+    def __init__(
+        self,
+        queue: _queue.FairQueue,
+        router: _routing.Router,
+        health: _health.Health,
+        estimates: _estimates.Estimates,
+    ) -> None:
+        self._estimates = estimates
+        self._health = health
         self._queue = queue
         self._router = router
         self._sequence = 0
         self._resource_waiters: set[_queue.Buyer] = set()
         self.job_by_key: dict[_work.Key, _queue.Job] = {}
         self.changed: set[_groups.Agent] = set()
+        self.changed_shares: set[_groups.Agent] = set()
 
     def new_job(self, key: _work.Key, buyer: _queue.Buyer) -> _queue.Job:
         """Return the state of a job that is not known yet."""
@@ -61,6 +71,32 @@
             self._queue.offer(buyer)
         return sent
 
+    def judge(self, job: _queue.Job, index: int, outcome: int, run_ms: float, now: float) -> None:
+        """Take over a task's outcome: its run time, and the evidence on the agent."""
+        agent, entry = self.release(job, index)
+        record = self._estimates.record(job.key[0], entry[4].kind)
+        if outcome in (_wire.DONE, _wire.EVICTED):
+            ratio = _health.ratio(record, run_ms)
+            self._estimates.learn(record, run_ms)
+            job.done += 1
+            if self._health.done(agent, job.key, ratio, now):
+                self.changed_shares.add(agent)
+            return
+        agent_id = agent.upstream.agent_id
+        job.failed_agents.add(agent_id)
+        record.add_failure(agent_id)
+        weight = _health.weigh(record, job, agent_id)
+        self._health.failed(agent, job.key, weight, now)
+        if weight >= _health.STRIKE_WEIGHT:
+            self._health.hold(agent, _health.hold_s(entry, run_ms), now)
+        self.changed_shares.add(agent)
+
+    def refused(self, agent: _groups.Agent, key: _work.Key, now: float) -> None:
+        """Note that an upstream did not start a task: that is never the job's fault."""
+        self._health.failed(agent, key, 1.0, now)
+        self._health.hold(agent, _health.REFUSED_HOLD_S, now)
+        self.changed_shares.add(agent)
+
     def release_agent(self, agent: _groups.Agent) -> list[tuple[_work.Key, int]]:
         """Stop counting all tasks at an agent that was removed; return them."""
         outstanding = []
@@ -71,6 +107,7 @@
                 outstanding.append((key, index))
             self.forget_if_idle(job)
         self.changed.discard(agent)
+        self.changed_shares.discard(agent)
         return outstanding
 
     def wait_for_resource(self, buyer: _queue.Buyer, lane: _queue.Lane) -> None:
@@ -89,6 +126,10 @@
 
     def refresh_agents(self) -> None:
         """Bring the order of the agents up to date with what was reported."""
-        for agent in self.changed:
+        for agent in self.changed_shares:
+            if agent.group is not None:
+                self._router.set_share(agent, self._health.share(agent))
+        for agent in self.changed - self.changed_shares:
             self._router.refresh(agent)
+        self.changed_shares.clear()
         self.changed.clear()
--- a/src/daisyfall/request/_groups.py
+++ b/src/daisyfall/request/_groups.py
@@ -48,6 +48,7 @@
     held: int = 0  # slots kept empty after tasks failed fast
     share: int = 0  # slots that the evidence leaves to the agent
     level: int | None = None
+    evidence: object = None  # of the health module
     memory_used: int = 0
     accelerators_used: int = 0
     sent_by_job: dict[_work.Key, int] = attrs.Factory(dict)
--- a/src/daisyfall/request/_queue.py
+++ b/src/daisyfall/request/_queue.py
@@ -1,12 +1,14 @@
-"""Weighted fair queue between buyers; first in, first out between the jobs of one buyer.
+"""Weighted fair queue between buyers, and the order of the jobs of one buyer.
 
 Each buyer has a virtual time that advances by the run time of what it starts, divided by
 its priority; the buyer with the lowest one is served next. A buyer that was idle resumes
 at the present virtual time, so it neither saves up its share nor pays for a burst of others.
+
+Between the jobs of one buyer the order is that of admission (`fifo`), or that of the latest
+start (`slack`): the time at which a task has to start for its job to end at its ideal time.
+A later job can pass an earlier one then, but by no more than that one's ideal response time.
 """
 
-import bisect
-import collections
 import heapq
 import itertools
 
@@ -19,6 +21,7 @@
 Entry = tuple[float, int, int, float, _work.Task]
 LaneKey = tuple[int, int]  # bit length of the memory in MB, accelerators
 
+JOB_ORDERS = ("fifo", "slack")
 PLAIN: LaneKey = (0, 0)
 
 
@@ -35,19 +38,21 @@
     work: _work.Work | None
     buyer: "Buyer"
     sequence: int
-    parts: dict[LaneKey, "Part"] = attrs.Factory(dict)
+    parts: list["Part"] = attrs.Factory(list)
+    target_ms: float = 0.0  # when the job would end if it had all slots from its admission
     queued: int = 0
     delayed: dict[int, Entry] = attrs.Factory(dict)
     sent: dict[int, tuple] = attrs.Factory(dict)
     attempts: dict[int, int] = attrs.Factory(dict)
     sent_by_rack: dict[str, int] = attrs.Factory(dict)
+    done: int = 0
     failed_agents: set[str] = attrs.Factory(set)
     unsent: list[int] = attrs.Factory(list)  # taken out before they started, for `remove_work`
     removed: bool = False
 
     def queued_indices(self) -> set[int]:
         """Return the indices of the queued tasks."""
-        return {-entry[2] for part in self.parts.values() for entry in part.entries}
+        return {-entry[2] for part in self.parts for entry in part.entries}
 
     @property
     def idle(self) -> bool:
@@ -57,42 +62,32 @@
 
 @attrs.define(slots=True, eq=False)
 class Part:
-    """The queued tasks of one job in one lane."""
+    """Queued tasks of one job in one lane."""
 
     job: Job
-    entries: list[Entry] = attrs.Factory(list)
-    listed: bool = False
+    entries: list[Entry]
+
+    def latest_start_ms(self) -> float:
+        """Return when the longest task has to start for the job to end at its target."""
+        return self.job.target_ms - self.entries[-1][0]
 
 
 @attrs.define(slots=True, eq=False)
 class Lane:
-    """The parts of one buyer's jobs with the same needs, in order of admission."""
+    """The parts of one buyer's jobs with the same needs, in a heap by the order of the jobs."""
 
     key: LaneKey
-    parts: collections.deque[Part] = attrs.Factory(collections.deque)
+    heap: list[tuple[float, int, Part]] = attrs.Factory(list)
     blocked: str = ""  # why the lane waits for a resource, empty if it does not
 
     def head(self) -> Part | None:
         """Return the first part that has tasks."""
-        parts = self.parts
-        while parts and not parts[0].entries:
-            parts.popleft().listed = False
-        return parts[0] if parts else None
-
-    def insert(self, part: Part) -> None:
-        """Add a part in the order of admission."""
-        part.listed = True
-        parts = self.parts
-        if not parts or parts[-1].job.sequence <= part.job.sequence:
-            parts.append(part)
-            return
-        # Only tasks that are sent again arrive out of order, and those are near the front.
-        position = 0
-        for each in parts:
-            if each.job.sequence > part.job.sequence:
-                break
-            position += 1
-        parts.insert(position, part)
+        heap = self.heap
+        while heap and not heap[0][2].entries:
+            part = heapq.heappop(heap)[2]
+            if part in part.job.parts:
+                part.job.parts.remove(part)
+        return heap[0][2] if heap else None
 
 
 @attrs.define(slots=True, eq=False)
@@ -124,11 +119,9 @@
         for head, lane in heads:
             if head is None:
                 del self.lanes[lane.key]
-        ordered = sorted(
-            (head.job.sequence, -lane.key[1], -lane.key[0], lane) for head, lane in heads if head
-        )
+        ordered = sorted((lane.heap[0][:2], lane) for head, lane in heads if head)
         memory_blocked = accelerators_blocked = False
-        for _, _, _, lane in ordered:
+        for _, lane in ordered:
             memory, accelerators = lane.key
             if lane.blocked:
                 memory_blocked |= memory > 0
@@ -141,7 +134,10 @@
 class FairQueue:
     """All buyers' queued tasks; buyers that can be served stand in their pool's heap."""
 
-    def __init__(self) -> None:
+    def __init__(self, job_order: str) -> None:
+        if job_order not in JOB_ORDERS:
+            raise ValueError(f"job order is {job_order!r}, expected one of {JOB_ORDERS}")
+        self._by_slack = job_order == "slack"
         self.buyer_by_name: dict[str, Buyer] = {}
         self.queued = 0
         self.queued_ms = 0.0
@@ -149,45 +145,41 @@
         self._virtual_ms = 0.0
         self._order = itertools.count()
 
-    def add(self, job: Job, entries: list[Entry]) -> None:
+    def add(self, job: Job, entries: list[Entry], now: float) -> None:
         """Queue tasks of a job, split by lane; each lane's tasks are sorted."""
         by_lane: dict[LaneKey, list[Entry]] = {}
-        total_ms = 0.0
+        counted_ms = total_ms = longest_ms = 0.0
         for entry in entries:
-            task = entry[4]
-            total_ms += entry[3]
+            run_ms, _, _, entry_ms, task = entry
+            counted_ms += entry_ms
+            total_ms += run_ms
+            longest_ms = max(longest_ms, run_ms)
             key = lane_key(task) if task.memory_mb or task.accelerators else PLAIN
             found = by_lane.get(key)
             if found is None:
                 by_lane[key] = [entry]
             else:
                 found.append(entry)
+        ideal_ms = max(longest_ms, total_ms / max(1, job.buyer.pool.slots()))
+        job.target_ms = now * 1000.0 + ideal_ms
         for key, found in by_lane.items():
             found.sort()
             self._add_part(job, key, found)
-        self._count(job, len(entries), total_ms)
+        self._count(job, len(entries), counted_ms)
 
     def put_back(self, job: Job, entry: Entry) -> None:
         """Queue one task of a job again."""
-        key = lane_key(entry[4])
-        part = job.parts.get(key)
-        if part is None or not part.listed:
-            self._add_part(job, key, [entry])
-        else:
-            bisect.insort(part.entries, entry)
+        self._add_part(job, lane_key(entry[4]), [entry])
         self._count(job, 1, entry[3])
 
     def _add_part(self, job: Job, key: LaneKey, entries: list[Entry]) -> None:
         lane = job.buyer.lanes.get(key)
         if lane is None:
             lane = job.buyer.lanes[key] = Lane(key)
-        part = job.parts.get(key)
-        if part is not None and part.listed:
-            part.entries.extend(entries)
-            part.entries.sort()
-            return
-        part = job.parts[key] = Part(job, entries)
-        lane.insert(part)
+        part = Part(job, entries)
+        job.parts.append(part)
+        order = part.latest_start_ms() if self._by_slack else job.sequence
+        heapq.heappush(lane.heap, (order, next(self._order), part))
 
     def _count(self, job: Job, count: int, run_ms: float) -> None:
         buyer = job.buyer
@@ -201,8 +193,9 @@
         self.queued_ms += run_ms
         self.offer(buyer)
 
-    def take(self, lane: Lane, part: Part, count: int) -> list[Entry]:
-        """Take the longest tasks of a part and charge them to the buyer."""
+    def take(self, lane: Lane, count: int) -> list[Entry]:
+        """Take the longest tasks of a lane's first part and charge them to the buyer."""
+        part = lane.heap[0][2]
         entries = part.entries
         if count >= len(entries):
             taken = entries[::-1]
@@ -217,6 +210,9 @@
         self._virtual_ms = max(self._virtual_ms, buyer.virtual_ms)
         buyer.virtual_ms += run_ms / buyer.weight
         self._uncount(part.job, len(taken), run_ms)
+        if self._by_slack and entries:
+            _, number, _ = lane.heap[0]
+            heapq.heapreplace(lane.heap, (part.latest_start_ms(), number, part))
         return taken
 
     def _uncount(self, job: Job, count: int, run_ms: float) -> None:
@@ -236,7 +232,7 @@
         """Take all queued tasks of a job out; return their indices."""
         indices = []
         run_ms = 0.0
-        for part in job.parts.values():
+        for part in job.parts:
             for entry in part.entries:
                 indices.append(-entry[2])
                 run_ms += entry[3]
--- a/src/daisyfall/request/_routing.py
+++ b/src/daisyfall/request/_routing.py
@@ -31,7 +31,7 @@
         self._queue_ms = settings.agent_queue_ms
         self._data_centre = data_centre
         self._rng = rng
-        self._now = 0.0  # of the last update
+        self.now = 0.0  # of the last update
         self.agent_by_id: dict[str, _groups.Agent] = {}
         self.group_by_key: dict[tuple, _groups.Group] = {}
         self.pool_by_key: dict[tuple, _groups.Pool] = {}
@@ -60,7 +60,7 @@
 
     def update(self, state: _groups.Upstream, now: float) -> _groups.Agent:
         """Take over the state of an upstream."""
-        self._now = now
+        self.now = now
         agent = self.agent_by_id.get(state.agent_id)
         if agent is None:
             agent = self.agent_by_id[state.agent_id] = _groups.Agent(state)
@@ -95,7 +95,7 @@
         self.set_share(agent, 0)
         group.move(agent, None)
         group.members.remove(agent)
-        group.left_at = self._now
+        group.left_at = self.now
         agent.group = None
 
     def _measure(self, group: _groups.Group, distance_ms: float) -> None:
@@ -249,7 +249,7 @@
 
     def load(self, agent: _groups.Agent, reported: int, now: float) -> None:
         """Take over the load that an agent reports, corrected by what is still on its way."""
-        self._now = now
+        self.now = now
         recent = agent.recent
         oldest = now - 0.002 * agent.upstream.distance_ms - _REPORT_SLACK_S
         while recent and recent[0][0] < oldest:
--- /dev/null
+++ b/src/daisyfall/request/_scheduler.py
@@ -0,0 +1,134 @@
+"""One round of assignments: the next buyer, its next tasks, and an agent for them."""
+
+import heapq
+
+import attrs
+
+from daisyfall.request import _flight, _groups, _limits, _queue, _retries, _routing, _work
+
+
+@attrs.define(slots=True, eq=False)
+class Assignment:
+    """Tasks of one job that are to be sent to one agent, in this order."""
+
+    agent_id: str
+    incarnation: str
+    work: _work.Work
+    tasks: list[_work.Task]
+
+
+class Scheduler:
+    """Serves the buyers in turn while agents take work and plans allow it."""
+
+    def __init__(
+        self,
+        queue: _queue.FairQueue,
+        router: _routing.Router,
+        flight: _flight.Flight,
+        retries: _retries.Retries,
+    ) -> None:
+        self._queue = queue
+        self._router = router
+        self._flight = flight
+        self._retries = retries
+        self._rate_heap: list[tuple[float, int, _queue.Buyer]] = []
+        self._rate_waits = 0
+
+    def assign(self, now: float) -> list[Assignment]:
+        """Return the starts that are due; each is counted as sent."""
+        self._wake_rates(now)
+        batches: dict[tuple, Assignment] = {}
+        pools = self._router.pool_by_key.values()
+        while self._queue.queued:
+            best = None
+            limit_ms = float("inf")  # virtual time up to which the first buyer is served
+            for pool in pools:
+                if pool.heap and pool.is_open():
+                    if best is None or pool.heap[0] < best.heap[0]:
+                        if best is not None:
+                            limit_ms = min(limit_ms, best.heap[0][0])
+                        best = pool
+                    else:
+                        limit_ms = min(limit_ms, pool.heap[0][0])
+            if best is None:
+                break
+            self._serve(best, limit_ms, now, batches)
+        for pool in pools:
+            for buyer in pool.passed:
+                self._queue.offer(buyer)
+            pool.passed.clear()
+        return list(batches.values())
+
+    def _serve(self, pool: _groups.Pool, limit_ms: float, now: float, batches: dict) -> None:
+        """Serve the first buyer of a pool until it is another's turn or the buyer has to wait."""
+        queue, router = self._queue, self._router
+        buyer = heapq.heappop(pool.heap)[2]
+        buyer.listed = False
+        if pool.heap:
+            limit_ms = min(limit_ms, pool.heap[0][0])
+        usage = buyer.usage
+        usage.fill(now)
+        while buyer.virtual_ms <= limit_ms:
+            lane = buyer.next_lane()
+            if lane is None:
+                return
+            room, limit = usage.room(lane.key[1])
+            if limit is _limits.Limit.ACCELERATORS:
+                lane.blocked = limit.value
+                continue
+            if limit is not None:
+                self._block(buyer, limit)
+                return
+            part = lane.heap[0][2]
+            entry = part.entries[-1]
+            agent = router.pick(pool, part.job, entry, queue.queued)
+            plain = lane.key == _queue.PLAIN
+            if agent is None and plain:
+                pool.passed.append(buyer)
+                return
+            if agent is None:
+                self._flight.wait_for_resource(buyer, lane)
+                continue
+            room = min(room, router.room(agent, entry[0])) if plain else 1
+            self._start(agent, part.job, queue.take(lane, room), now, batches)
+        queue.offer(buyer)
+
+    def _start(
+        self,
+        agent: _groups.Agent,
+        job: _queue.Job,
+        entries: list[_queue.Entry],
+        now: float,
+        batches: dict,
+    ) -> None:
+        self._flight.send(job, agent, entries, now)
+        job.buyer.usage.tokens -= len(entries)
+        self._retries.count_starts(len(entries))
+        tasks = [entry[4] for entry in entries]
+        batch_key = (job, agent)
+        batch = batches.get(batch_key)
+        if batch is None:
+            upstream = agent.upstream
+            batches[batch_key] = Assignment(
+                upstream.agent_id, upstream.incarnation, job.work, tasks
+            )
+        else:
+            batch.tasks.extend(tasks)
+
+    def _block(self, buyer: _queue.Buyer, limit: _limits.Limit) -> None:
+        buyer.blocked = limit
+        if limit is _limits.Limit.RATE:
+            at = buyer.usage.next_token(buyer.queued)
+            if at is not None:
+                self._rate_waits += 1
+                heapq.heappush(self._rate_heap, (at, self._rate_waits, buyer))
+
+    def _wake_rates(self, now: float) -> None:
+        while self._rate_heap and self._rate_heap[0][0] <= now:
+            buyer = heapq.heappop(self._rate_heap)[2]
+            if buyer.blocked is _limits.Limit.RATE:
+                self._queue.unblock(buyer)
+
+    def next_due(self) -> float | None:
+        """Return the time at which a buyer that waits for its rate may start again."""
+        return self._rate_heap[0][0] if self._rate_heap else None
--- /dev/null
+++ b/src/daisyfall_standins/policy_model.py
@@ -0,0 +1,155 @@
+"""Compare the routing policies of the dispatcher over a small event loop in virtual time.
+
+It models the decisions, a one-way delay, and slots that run tasks in order of arrival.
+"""
+
+import heapq
+import itertools
+import random
+
+import attrs
+import fire
+
+from daisyfall import _wire, errors
+from daisyfall.process import _settings
+from daisyfall.request import _dispatcher, _routing, _work
+from daisyfall.version import _lists
+
+AGENTS, SLOTS, DELAY_S = 11, 8, 0.0005
+BUYERS = ("ana", "bela", "caro", "dina")
+PLAN = _lists.Allowance(1e6, 10**6, 10**6, 0, 1900, 60_000)
+SCENARIOS = ("steady", "burst", "straggler", "failing")
+KIND_S = {f"kind{number}": 0.05 * 1.35**number for number in range(10)}
+
+MEAN_TASK_S = sum(KIND_S.values()) / len(KIND_S)
+
+
+@attrs.define(eq=False)
+class _Runner:
+    agent_id: str
+    free: int = SLOTS
+    waiting: list = attrs.Factory(list)
+    slow: float = 1.0
+    fails: bool = False
+
+
+@attrs.define(eq=False)
+class _Job:
+    arrived: float
+    ideal: float
+    times: list[float]
+    ended: int = 0
+
+
+class Model:
+    """Jobs arrive, the dispatcher assigns, runners run and report, in virtual time."""
+
+    def __init__(self, settings, seed: int, load: float, scenario: str, largest: int) -> None:
+        self.rng, rng = random.Random(seed), random.Random(seed)
+        self.dispatcher = _dispatcher.Dispatcher(settings, _settings.JobSettings(), "dc0", rng)
+        buyers = {name: _lists.Buyer(name, "plan", "", "") for name in BUYERS}
+        self.dispatcher.use_lists(_lists.Lists(1, "", buyers, {"plan": PLAN}))
+        self.dispatcher.activated(0, -10.0)
+        self.runners = [_Runner(str(number)) for number in range(AGENTS)]
+        for number in range(AGENTS):
+            place = {"data_centre": f"dc{number % 4}", "rack": f"r{number // 3}", "slots": SLOTS}
+            state = _dispatcher.Upstream(str(number), "1", distance_ms=DELAY_S * 1000, **place)
+            self.dispatcher.update_upstream(state, 0.0)
+        self.job_rate = load * AGENTS * SLOTS / (MEAN_TASK_S * (1 + largest) / 2)
+        self.scenario, self.largest = scenario, largest
+        self.events, self.order, self.jobs, self.ratios = [], itertools.count(), {}, []
+        self.now, self.wakeup, self.failed, self.refused = 0.0, float("inf"), 0, 0
+
+    def _after(self, delay: float, call, *args) -> None:
+        heapq.heappush(self.events, (self.now + delay, next(self.order), call, args))
+
+    def run(self, seconds: float) -> None:
+        """Run the scenario, whose fault begins after a quarter, and let all jobs end."""
+        self._after(0.0, self._arrive, seconds)
+        fault = {"straggler": ("slow", 10.0), "failing": ("fails", True)}.get(self.scenario)
+        if fault:
+            self._after(seconds / 4, setattr, self.runners[3], *fault)
+        for _ in range(400 // self.largest if self.scenario == "burst" else 0):
+            self._after(seconds / 4, self._submit, BUYERS[0])
+        while self.events:
+            self.now, _, call, args = heapq.heappop(self.events)
+            call(*args)
+            if not self.events or self.events[0][0] > self.now:
+                self._assign()
+
+    def _arrive(self, until: float) -> None:
+        self._submit(self.rng.choice(BUYERS))
+        if self.now < until:
+            self._after(self.rng.expovariate(self.job_rate), self._arrive, until)
+
+    def _submit(self, buyer: str) -> None:
+        # Tasks take 50 ms to 0.9 s; the declared times say nothing.
+        kinds = self.rng.choices(list(KIND_S), k=self.rng.randint(1, self.largest))
+        times = [KIND_S[kind] * self.rng.uniform(0.8, 1.2) for kind in kinds]
+        tasks = [_work.Task(n, k, None, self.rng.randint(1, 2000)) for n, k in enumerate(kinds)]
+        work = _work.Work(buyer, f"j{next(self.order)}", 0, tasks, self.now + 30.0)
+        ideal = max(*times, sum(times) / (AGENTS * SLOTS)) + 2 * DELAY_S
+        self.jobs[work.key] = _Job(self.now, ideal, times)
+        try:
+            self.dispatcher.admit(work, self.now)
+        except errors.DispatchError:
+            self.refused += self.jobs.pop(work.key) is not None
+
+    def _assign(self) -> None:
+        for each in self.dispatcher.assign(self.now):
+            runner = self.runners[int(each.agent_id)]
+            items = [(each.work.key, task.index) for task in each.tasks]
+            self._after(DELAY_S, self._receive, runner, items)
+        for key in self.dispatcher.expired(self.now):
+            self._fail(key)
+        wakeup = self.dispatcher.next_wakeup(self.now)
+        if wakeup is not None and not self.now < self.wakeup <= wakeup:
+            self.wakeup = max(wakeup, self.now + 1e-4)
+            self._after(self.wakeup - self.now, int)
+
+    def _fail(self, key) -> None:
+        self.dispatcher.remove_work(key)
+        self.failed += self.jobs.pop(key, None) is not None
+
+    def _receive(self, runner: _Runner, items: list) -> None:
+        runner.waiting += items
+        while runner.free and runner.waiting:
+            runner.free -= 1
+            key, index = runner.waiting.pop(0)
+            job = self.jobs.get(key)
+            seconds = 0.001 if runner.fails or not job else job.times[index] * runner.slow
+            outcome = _wire.FAILED if runner.fails else _wire.DONE
+            self._after(seconds, self._end, runner, (key, index, outcome, seconds * 1000.0))
+
+    def _end(self, runner: _Runner, result: tuple) -> None:
+        runner.free += 1
+        self._receive(runner, [])
+        load = (runner.agent_id, SLOTS - runner.free, len(runner.waiting))
+        self._after(DELAY_S, self._report, result, load)
+
+    def _report(self, result: tuple, load: tuple[str, int, int]) -> None:
+        self.dispatcher.finished(*result, self.now)
+        self.dispatcher.update_load(*load, self.now)
+        key = result[0]
+        if result[2] == _wire.FAILED:
+            self._fail(key)
+        elif job := self.jobs.get(key):
+            job.ended += 1
+            if job.ended == len(job.times):
+                self.ratios.append((self.now - job.arrived) / self.jobs.pop(key).ideal)
+
+
+def compare(*, load=0.7, seeds=3, largest=20, job_order="fifo", policies=_routing.POLICIES) -> None:
+    """Print response time over the ideal of jobs with up to `largest` tasks."""
+    for scenario, policy, seed in itertools.product(SCENARIOS, policies, range(seeds)):
+        settings = _settings.RoutingSettings(policy, job_order=job_order)
+        model = Model(settings, seed, load, scenario, largest)
+        model.run(6.0 * largest)
+        ratios = sorted(model.ratios)
+        p50, p99 = (ratios[int(len(ratios) * share)] for share in (0.5, 0.99))
+        print(f"{scenario:9} {policy:17} seed {seed} jobs {len(ratios)}", end=" ")
+        print(f"p50 {p50:.3f} p99 {p99:.3f} failed {model.failed} refused {model.refused}")
+
+
+if __name__ == "__main__":
+    fire.Fire(compare)
