--- /dev/null
+++ b/features/document_tables.py
@@ -0,0 +1,29 @@
+"""Tables of the Markdown documents, compared with what the code holds."""
+
+import pathlib
+
+ROOT = pathlib.Path(__file__).parents[1]
+
+
+def read(file: str, heading: list[str]) -> list[tuple[str, ...]]:
+    """Return the named columns of all tables whose heading begins with them."""
+    rows, inside = [], False
+    for line in (ROOT / file).read_text().splitlines():
+        cells = [cell.strip().strip("`") for cell in line.strip().strip("|").split("|")]
+        if not line.startswith("|"):
+            inside = False
+        elif cells[: len(heading)] == heading:
+            inside = True
+        elif inside and not line.startswith("|-"):
+            rows.append(tuple(cells[: len(heading)]))
+    assert rows, f"{file} has no table with the columns {heading}"
+    return rows
+
+
+def compare(found: list[tuple], expected: list[tuple]) -> None:
+    """Fail with the rows that are only on one side, or that stand twice."""
+    missing = [row for row in expected if row not in found]
+    surplus = [row for row in found if row not in expected]
+    assert not missing, f"missing in the document: {missing}"
+    assert not surplus, f"not so in the code: {surplus}"
+    assert len(found) == len(set(found)), "a row stands twice"
--- /dev/null
+++ b/features/steps/lists_steps.py
@@ -0,0 +1,167 @@
+"""Steps on the check, the diff and the tokens of the lists."""
+
+import copy
+import pathlib
+from unittest import mock
+
+import yaml
+from behave import given, then, when
+
+from daisyfall import _checked, errors
+from daisyfall.process import _settings_load
+from daisyfall.version import _lists, _lists_check, _lists_diff
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+
+
+def build(documents: dict) -> _lists.Lists:
+    return _lists_check.build(1, documents["plans"], documents["allowances"])
+
+
+def change(documents: dict, text: str) -> dict:
+    """Return the documents with `path=value` set; an empty value removes the key."""
+    changed = copy.deepcopy(documents)
+    for each in text.split("; "):
+        path, _, value = each.partition("=")
+        *sections, key = path.split(".")
+        place = changed
+        for section in sections:
+            place = place.setdefault(section, {})
+        place[key] = yaml.safe_load(value)
+        if value == "":
+            del place[key]
+    return changed
+
+
+def problems(context) -> list[dict]:
+    try:
+        build(context.documents)
+    except errors.DispatchError as error:
+        assert error.kind is errors.Kind.LISTS_INVALID
+        return error.value
+    raise AssertionError("the lists were accepted")
+
+
+@given('the lists of the example "{deployment}"')
+def read_example(context, deployment):
+    folder = EXAMPLES / deployment
+    names = ("plans", "allowances")
+    context.documents = {name: _checked.read_yaml(folder / f"{name}.yaml") for name in names}
+    context.before = context.documents
+    context.tokens = _checked.read_yaml(folder / "tokens.yaml")
+    context.settings = _settings_load.load(folder / "entry.yaml", [], {})
+    build(context.documents)
+
+
+@when('the lists change "{text}"')
+def apply_change(context, text):
+    context.documents = change(context.documents, text)
+
+
+@then('the lists are refused at "{path}", found "{found}", expected "{expected}"')
+def check_refusal(context, path, found, expected):
+    matching = [x for x in problems(context) if x["path"] == path]
+    assert matching, problems(context)
+    assert found in matching[0]["value"], matching
+    assert expected in matching[0]["expected"], matching
+
+
+@then("the lists are refused with {count:d} problems")
+def check_count(context, count):
+    assert len(problems(context)) == count, problems(context)
+
+
+def reverse(value: object) -> object:
+    if not isinstance(value, dict):
+        return value
+    return {key: reverse(value[key]) for key in reversed(value)}
+
+
+@then("the lists with all keys reversed have the same digest")
+def check_digest(context):
+    assert build(reverse(context.documents)).digest == build(context.documents).digest
+
+
+@then('the lists have another digest after "{text}"')
+def check_other_digest(context, text):
+    assert build(change(context.documents, text)).digest != build(context.documents).digest
+
+
+@then('the lists diff is "{line}"')
+def check_diff(context, line):
+    assert _lists_diff.diff(context.before, context.before) == []
+    lines = _lists_diff.diff(context.before, context.documents)
+    assert lines == [line], lines
+
+
+@then("the lists accept each example token for its own buyer")
+def check_tokens(context):
+    lists = build(context.documents)
+    for name, token in context.tokens["buyers"].items():
+        # The second call is answered from the cache.
+        assert _lists.verify_token(lists, token) is lists.buyer_by_name[name]
+        assert _lists.verify_token(lists, token) is lists.buyer_by_name[name]
+    assert len(context.tokens["buyers"]) == len(lists.buyer_by_name)
+
+
+@then("the lists refuse each example token with another buyer's name or secret")
+def check_other_names(context):
+    lists = build(context.documents)
+    tokens = context.tokens["buyers"]
+    for name in tokens:
+        for token in tokens.values():
+            secret = token.partition(".")[2]
+            if token != tokens[name]:
+                assert _lists.verify_token(lists, f"{name}.{secret}") is None
+        assert _lists.verify_token(lists, f"{tokens[name]}x") is None
+
+
+@then("the lists accept the example operator token against the example settings")
+def check_operator(context):
+    hashes = context.settings.operator_tokens
+    for token in context.tokens["operators"].values():
+        assert _lists.verify_operator(hashes, token)
+        assert not _lists.verify_operator(hashes, f"{token}x")
+    assert not _lists.verify_operator(hashes, "")
+
+
+@then('the lists refuse the bearer text "{bearer}"')
+def check_bearer(context, bearer):
+    assert _lists.verify_token(build(context.documents), bearer) is None
+
+
+def count_comparisons(lists: _lists.Lists, bearer: str) -> list:
+    """Return the lengths of what is compared for a bearer text."""
+    compare, lengths = _lists.hmac.compare_digest, []
+
+    def record(found, expected):
+        lengths.append((len(found), len(expected)))
+        return compare(found, expected)
+
+    with mock.patch.object(_lists.hmac, "compare_digest", record):
+        assert _lists.verify_token(lists, bearer) is None
+    return lengths
+
+
+@then('the lists compare as often for "{unknown}" as for "{known}"')
+def check_comparisons(context, unknown, known):
+    lists = build(context.documents)
+    assert count_comparisons(lists, unknown) == count_comparisons(lists, known) == [(64, 64)]
+
+
+@when('the lists have verified the token of "{name}"')
+def verify(context, name):
+    assert _lists.verify_token(build(context.documents), context.tokens["buyers"][name])
+
+
+@then('the lists refuse the token of "{name}"')
+def check_replaced(context, name):
+    assert _lists.verify_token(build(context.documents), context.tokens["buyers"][name]) is None
+
+
+@then("the lists cache nothing after 1000 wrong tokens")
+def check_cache(context):
+    lists = build(context.documents)
+    for number in range(1000):
+        assert _lists.verify_token(lists, f"andina-brands.{number}") is None
+    assert not lists._buyer_by_token
--- a/src/daisyfall/_ctl_client.py
+++ b/src/daisyfall/_ctl_client.py
@@ -57,6 +57,20 @@
         return lines
 
 
+async def _send_once(request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType):
+    """Keep aiohttp from sending again.
+
+    It repeats PUT and DELETE by itself when the connection ends before the reply; a second
+    PUT of the lists would be refused as a conflict with the first one.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise NoReplyError(f"no reply to {request.method} {request.url.path}: {error}") from error
+
+
 @attrs.define
 class Client:
     """Requests to one entry, or to the balancer in front of several."""
@@ -165,7 +179,7 @@
 
 
 async def _with_client(url: str, token: str, work) -> int:
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(middlewares=[_send_once]) as session:
         return await work(Client(url, token, session))
 
 
--- a/src/daisyfall/daemon.py
+++ b/src/daisyfall/daemon.py
@@ -4,6 +4,7 @@
 import sys
 
 import uvloop
+from loguru import logger
 
 from daisyfall import _command_line
 from daisyfall.process import _log, _settings, _settings_load
@@ -26,8 +27,8 @@
             runner.run(_serve(settings))
     except KeyboardInterrupt:
         return 1
-    except Exception as error:
-        _log.failed(error)
+    except Exception:
+        logger.exception("the process ends with an unexpected error")
         return 1
     return 0
 
@@ -42,13 +43,15 @@
     return 0
 
 
+COMMANDS = {"run": run, "check": check}
+
+
 def main() -> None:
     """Run the command line of this process and exit with its status."""
-    arguments = _gather_overrides(sys.argv[1:])
-    sys.exit(_command_line.execute(PROGRAM, {"run": run, "check": check}, arguments))
+    sys.exit(_command_line.execute(PROGRAM, COMMANDS, gather_overrides(sys.argv[1:])))
 
 
-def _gather_overrides(arguments: list[str]) -> list[str]:
+def gather_overrides(arguments: list[str]) -> list[str]:
     """Join all `--set` options into one, because fire keeps only the last of them."""
     rest, values = [], []
     words = iter(arguments)
--- a/src/daisyfall/process/_log.py
+++ b/src/daisyfall/process/_log.py
@@ -1,18 +1,26 @@
-"""Log lines of one process: one for each change of state, as text or JSON, without secrets."""
+"""Log lines of one process: one for each change of state, as text or JSON, without secrets.
+
+Other modules log with loguru itself and bind what the line is about:
+`logger.bind(job=..., upstream=..., epoch=..., version=...).info("shard activated")`.
+"""
 
 import json
 import re
 import sys
+import traceback
+from collections.abc import Callable
 
 from loguru import logger
 
 from daisyfall.process import _settings
 
-# Fields whose names end so are never written.
-_SECRET_FIELDS = ("token", "key", "keys", "secret", "proof", "authorization", "token_hash", "salt")
-_BEARER = re.compile(r"(?i)(bearer\s+)\S+")
-_HEADER = re.compile(r"(?i)(authorization['\"]?\s*[:=]\s*['\"]?)(?!bearer\s)[^\s'\"]+")
-_REDACTED = "<redacted>"
+REDACTED = "<redacted>"
+SHOWN_FRAMES = 6
+
+_SECRET_FIELD = re.compile(
+    r"(?i)(^|_)(token|tokens|key|keys|secret|proof|authorization|token_hash|salt)$"
+)
+_BEARER = re.compile(r"(?i)\b(bearer\s+)\S+")
 
 
 def configure(settings: _settings.Settings, stream=None) -> None:
@@ -21,80 +29,54 @@
     secrets = [text for text in (*settings.keys, *settings.operator_tokens) if text]
     write = _write_json if settings.log.json else _write_text
 
+    def redact(text: str) -> str:
+        for secret in secrets:
+            text = text.replace(secret, REDACTED)
+        return _BEARER.sub(rf"\1{REDACTED}", text)
+
     def sink(message) -> None:
-        stream.write(f"{write(message.record, secrets)}\n")
+        stream.write(f"{write(_describe(message.record, redact))}\n")
         stream.flush()
 
     logger.remove()
     logger.configure(extra={"process": settings.id, "role": settings.role})
-    # Without diagnose=False a trace would show the values of variables, keys among them.
+    # The trace is formatted in `_describe`; loguru's own shows the values of variables.
     logger.add(sink, level=settings.log.level, format="{message}", diagnose=False)
 
 
-def state(text: str, **fields) -> None:
-    """Log one change of state, with fields such as job, upstream, epoch, version."""
-    logger.bind(**fields).opt(depth=1).info(_escape(text))
-
-
-def warning(text: str, **fields) -> None:
-    """Log a change of state that an operator should look at."""
-    logger.bind(**fields).opt(depth=1).warning(_escape(text))
-
-
-def failed(error: BaseException, text: str = "the process fails", **fields) -> None:
-    """Log an unexpected error with its trace."""
-    logger.bind(**fields).opt(depth=1, exception=error).error(_escape(text))
-
-
-def _escape(text: str) -> str:
-    return text.replace("\n", " ")
-
-
-def _fields(record: dict, secrets: list[str]) -> dict:
-    return {name: _clean(name, value, secrets) for name, value in record["extra"].items()}
-
-
-def _clean(name: str, value: object, secrets: list[str]) -> object:
-    if name.lower() in _SECRET_FIELDS or name.lower().endswith(("_token", "_key", "_secret")):
-        return _REDACTED
-    if isinstance(value, bool | int | float) or value is None:
-        return value
-    return redact(str(value), secrets)
-
-
-def redact(text: str, secrets: list[str]) -> str:
-    """Return the text without bearer tokens and without the secrets of the settings."""
-    for secret in secrets:
-        text = text.replace(secret, _REDACTED)
-    return _HEADER.sub(rf"\1{_REDACTED}", _BEARER.sub(rf"\1{_REDACTED}", text))
+def _describe(record: dict, redact: Callable[[str], str]) -> dict:
+    """Return the fields of one line; `at`, `level` and `text` come first."""
+    line = {
+        "at": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "text": redact(record["message"]),
+    }
+    for name, value in record["extra"].items():
+        if _SECRET_FIELD.search(name):
+            line[name] = REDACTED
+        else:
+            is_plain = value is None or isinstance(value, bool | int | float)
+            line[name] = value if is_plain else redact(str(value))
+    error = record["exception"]
+    if error and error.type:
+        line["error"] = redact(f"{error.type.__name__}: {error.value}")
+        frames = traceback.extract_tb(error.traceback)[-SHOWN_FRAMES:]
+        line["trace"] = " < ".join(f"{x.filename}:{x.lineno} {x.name}" for x in reversed(frames))
+    return line
 
 
-def _trace(record: dict, secrets: list[str]) -> str:
-    error = record["exception"]
-    return redact(f"{error.type.__name__}: {error.value}", secrets) if error else ""
+def _write_json(line: dict) -> str:
+    return json.dumps(line, ensure_ascii=False)
 
 
-def _write_text(record: dict, secrets: list[str]) -> str:
-    at = record["time"].strftime("%Y-%m-%dT%H:%M:%S.%f%z")
-    fields = _fields(record, secrets)
-    if record["exception"]:
-        fields["error"] = _trace(record, secrets)
-    pairs = " ".join(f"{name}={_quote(value)}" for name, value in fields.items())
-    return f"{at} {record['level'].name} {redact(record['message'], secrets)} {pairs}".rstrip()
+def _write_text(line: dict) -> str:
+    at, level, text, *_ = line.values()
+    fields = list(line.items())[3:]
+    pairs = " ".join(f"{name}={_quote(value)}" for name, value in fields)
+    return f"{at} {level} {text.replace(chr(10), ' ')} {pairs}"
 
 
 def _quote(value: object) -> str:
     text = str(value)
-    return json.dumps(text) if re.search(r'[\s"=]', text) or not text else text
-
-
-def _write_json(record: dict, secrets: list[str]) -> str:
-    line = {
-        "at": record["time"].isoformat(),
-        "level": record["level"].name,
-        "text": redact(record["message"], secrets),
-    }
-    line |= _fields(record, secrets)
-    if record["exception"]:
-        line["error"] = _trace(record, secrets)
-    return json.dumps(line)
+    is_plain = text and not re.search(r'[\s"=]', text)
+    return text if is_plain else json.dumps(text, ensure_ascii=False)
