--- a/src/daisyfall/process/_entry.py
+++ b/src/daisyfall/process/_entry.py
@@ -1,6 +1,7 @@
 """Composition root of an entry."""
 
 import asyncio
+import collections
 import random
 import signal
 
@@ -13,14 +14,16 @@
     _agent_session,
     _fencer,
     _handshake,
-    _peer_link,
     _peer_session,
 )
 from daisyfall.process import (
     _health_api,
+    _membership,
+    _metered_table,
     _metrics,
     _objects,
     _ownership,
+    _peers,
     _registry,
     _settings,
     _table,
@@ -32,11 +35,9 @@
     _dispatcher,
     _operator_api,
     _owner,
-    _submission,
 )
 from daisyfall.version import _lists, _publisher
 
-PEER_CALL_SECONDS = 0.5
 STOP_LIMIT_SECONDS = 60.0
 HANDOVER_POLL_SECONDS = 0.05
 
@@ -49,11 +50,12 @@
         self.incarnation = _ids.new_incarnation()
         self.metrics = _metrics.Metrics()
         table = settings.table
-        self.table = _table.HttpTable(table.url, table.timeout_ms / 1000, settings.id)
+        client = _table.HttpTable(table.url, table.timeout_ms / 1000, settings.id)
+        self.table = _metered_table.MeteredTable(client, self.metrics)
         self.objects = _objects.HttpObjects(
             table.objects_url, table.objects_timeout_ms / 1000, settings.id
         )
-        identity = _registry.Identity(
+        identity = _membership.Identity(
             settings.id,
             self.incarnation,
             settings.peer.advertised,
@@ -70,12 +72,11 @@
         )
         self.fencer = _fencer.Fencer(self.delivery, settings)
         self.publisher = _publisher.Publisher(self.table, self.objects, self._use_lists)
-        self.link_by_id: dict[str, _peer_link.PeerLink] = {}
-        self._link_task_by_id: dict[str, asyncio.Task] = {}
-        self.peer_versions: dict[str, int] = {}
+        self.peers = _peers.Peers(settings, self.registry, self.publisher, self._spawn)
         self.carrier = _carrier.Carrier(
-            settings, self.registry, self.owner, self.link_by_id, self.metrics
+            settings, self.registry, self.owner, self.peers.link_by_id, self.metrics
         )
+        self.peers.carrier = self.carrier
         self.api = _api.Api(settings, self.publisher, self.carrier, self.metrics)
         self.operator_api = _operator_api.OperatorApi(
             settings,
@@ -84,10 +85,13 @@
             publisher=self.publisher,
             delivery=self.delivery,
             metrics=self.metrics,
-            peer_versions=self.peer_versions,
+            peer_versions=self.peers.version_by_id,
         )
         self.delivery.wish_of = self.operator_api.wish_of
-        self.registry.calls = _registry.PeerCalls(self._promise, self._query, self.fencer.fence)
+        self.registry.calls = _registry.PeerCalls(
+            self.peers.promise, self.peers.query, self.fencer.fence
+        )
+        self.metrics.lease_margin(lambda: self.registry.lease.remaining(_clock.monotonic()))
         self._tasks: set[asyncio.Task] = set()
         self._listing: set[str] = set()
 
@@ -108,7 +112,7 @@
                 session.send(self._roster(session))
                 self.delivery.update_upstream(session)
             self.delivery.pump_soon()
-        self._follow_peers()
+        self.peers.follow()
 
     def on_lost(self, shards: list[int]) -> None:
         """Give up the jobs of lost shards."""
@@ -116,6 +120,8 @@
 
     def on_active(self, shard: int) -> None:
         """Use a shard."""
+        if self.registry.holding_by_shard[shard].epoch > 1:
+            self.dispatcher.activated(shard, _clock.monotonic())
         self.delivery.pump_soon()
 
     async def _follow_lists(self, head: _table.Row | None) -> None:
@@ -134,128 +140,6 @@
             session.send(self._roster(session))
         self.delivery.pump_soon()
 
-    # Peers.
-
-    def _follow_peers(self) -> None:
-        me = self.settings.id
-        wanted = {e.id: e.address for e in self.registry.view.entry_by_id.values() if e.id != me}
-        for peer_id in [p for p in self.link_by_id if p not in wanted]:
-            self._link_task_by_id.pop(peer_id).cancel()
-            del self.link_by_id[peer_id]
-            self.peer_versions.pop(peer_id, None)
-        for peer_id, address in wanted.items():
-            link = self.link_by_id.get(peer_id)
-            if link is not None and link.address == address:
-                continue
-            if link is not None:
-                self._link_task_by_id.pop(peer_id).cancel()
-            self._dial(peer_id, address)
-
-    def _dial(self, peer_id: str, address: str) -> None:
-        hello = _wire.Hello(
-            _wire.ROLE_ENTRY,
-            self.settings.id,
-            self.incarnation,
-            _wire.MAX_VERSION,
-            b"",
-            self.settings.data_centre,
-            self.settings.peer.advertised,
-        )
-        key = self.settings.keys[0]
-        link = _peer_link.PeerLink(peer_id, address, key, hello, self._take_pong)
-        lease = self.settings.lease
-        self.link_by_id[peer_id] = link
-        self._link_task_by_id[peer_id] = asyncio.create_task(
-            link.run(
-                lambda number: _wire.Ping(number, self.publisher.version),
-                lease.heartbeat_ms / 1000,
-                lease.heartbeat_limit_ms / 1000,
-            )
-        )
-
-    def _take_pong(self, peer_id: str, reply: _wire.Reply) -> None:
-        if not isinstance(reply.body, int):
-            return
-        self.peer_versions[peer_id] = reply.body
-        if reply.body > self.publisher.version:
-            self._spawn(self._fetch_lists(peer_id))
-
-    async def _fetch_lists(self, peer_id: str) -> None:
-        """Take a newer version from a peer; an entry cut off from the table needs this."""
-        link = self.link_by_id.get(peer_id)
-        if link is None:
-            return
-        try:
-            found = await link.call(
-                lambda number: _wire.Lookup(number, "lists", "", ""), PEER_CALL_SECONDS
-            )
-        except (_peer_link.LinkLostError, _peer_link.NotConnectedError):
-            return
-        if found:
-            self.publisher.adopt(found["head"], found["document"])
-
-    async def _promise(
-        self, peer: _ownership.Holder, holder: _ownership.Holder, seconds: float
-    ) -> bool:
-        link = self.link_by_id.get(peer[0])
-        if link is None:
-            return False
-        try:
-            return await link.call(
-                lambda number: _wire.PromiseRequest(
-                    number, holder[0], holder[1], int(seconds * 1000), peer[1]
-                ),
-                PEER_CALL_SECONDS,
-            )
-        except (_peer_link.LinkLostError, _peer_link.NotConnectedError, errors.DispatchError):
-            return False
-
-    async def _query(self, peer: _ownership.Holder, holder: _ownership.Holder) -> float | None:
-        link = self.link_by_id.get(peer[0])
-        if link is None:
-            return None
-        try:
-            return await link.call(
-                lambda number: _wire.PromiseQuery(number, holder[0], holder[1], peer[1]),
-                PEER_CALL_SECONDS,
-            )
-        except (_peer_link.LinkLostError, _peer_link.NotConnectedError, errors.DispatchError):
-            return None
-
-    async def handle_peer(self, request):
-        """Answer one request of another entry."""
-        now = _clock.monotonic()
-        match request:
-            case _wire.Ping():
-                return self.publisher.version
-            case _wire.Submit():
-                submission = _submission.from_wire(
-                    request.buyer, request.job_id, request.deadline_left_ms, request.tasks
-                )
-                return await self.carrier.settle_here(submission, request.wait)
-            case _wire.Lookup(operation="lists"):
-                return self.publisher.as_document()
-            case _wire.Lookup():
-                return await self.carrier.lookup_here(
-                    request.operation, request.buyer, request.job_id, request.wait_ms
-                )
-            case _wire.PromiseRequest():
-                self._check_incarnation(request.peer_incarnation)
-                holder = (request.owner_id, request.owner_incarnation)
-                return self.registry.promises.grant(holder, request.duration_ms / 1000, now)
-            case _wire.PromiseQuery():
-                self._check_incarnation(request.peer_incarnation)
-                holder = (request.owner_id, request.owner_incarnation)
-                return self.registry.promises.query(holder, now)
-        raise errors.DispatchError(errors.Kind.PROTOCOL, type(request).__name__)
-
-    def _check_incarnation(self, expected: str) -> None:
-        found = self.registry.holder[1]
-        if found != expected:
-            raise errors.DispatchError(
-                errors.Kind.PROTOCOL, f"this is incarnation {found}, not {expected}"
-            )
-
     # Accepted connections.
 
     async def serve_socket(self, socket) -> None:
@@ -269,7 +153,7 @@
             logger.bind(reason=str(error)).warning("connection refused")
             return
         if hello.role == _wire.ROLE_ENTRY:
-            await _peer_session.serve(socket, self.handle_peer)
+            await _peer_session.serve(socket, self.peers.handle)
             return
         session = _agent_session.AgentSession(hello, socket)
         if not session.listed:
@@ -286,7 +170,7 @@
     async def _list_agent(self, session: _agent_session.AgentSession) -> None:
         while not session.closed and not session.listed:
             try:
-                await self.registry.list_agent(session.agent_id, session.incarnation)
+                await self.registry.agent_rows.list(session.agent_id, session.incarnation)
                 session.send(_wire.Listed(session.incarnation))
                 return
             except (_table.TableError, _table.ConflictError):
@@ -330,9 +214,10 @@
         logger.bind(http=self.settings.http.advertised, peer=peer.advertised).info("entry started")
         await stop.wait()
         await self._stop()
-        for task in [*registry, *others, *self._link_task_by_id.values()]:
+        for task in [*registry, *others]:
             task.cancel()
-        await self.registry.leave()
+        self.peers.close()
+        await self.registry.membership.leave()
         server.close()
         await runner.cleanup()
         await self.table.close()
@@ -361,6 +246,20 @@
         while True:
             await asyncio.sleep(self.settings.lease.heartbeat_ms / 1000 / 4)
             self.delivery.give_up_absent(_clock.monotonic())
+            self._measure()
+
+    def _measure(self) -> None:
+        registry = self.registry
+        self.metrics.owned_shards(sum(each.active for each in registry.holding_by_shard.values()))
+        self.metrics.roster_size(len(registry.view.entry_by_id))
+        self.metrics.jobs_in_memory(
+            len(self.owner.jobs.job_by_key) + len(self.owner.jobs.record_by_key)
+        )
+        states = collections.Counter(
+            "ready" if each.status and each.status.ready else "not_ready"
+            for each in self.delivery.session_by_id.values()
+        )
+        self.metrics.upstreams(dict(states))
 
     async def _stop(self) -> None:
         """Hand over the shards and answer every open request (rule 9)."""
@@ -370,7 +269,7 @@
         if self.registry.table_reachable:
             try:
                 await self.registry.stop_owning()
-                self._ping_peers()
+                self.peers.ping_all()
             except _table.TableError as error:
                 logger.bind(reason=str(error)).warning("shards could not be released")
         while _clock.monotonic() < deadline:
@@ -379,18 +278,6 @@
             await asyncio.sleep(HANDOVER_POLL_SECONDS)
         logger.bind(open=self.api.open_requests).warning("stop limit reached with open requests")
 
-    def _ping_peers(self) -> None:
-        for link in self.link_by_id.values():
-            self._spawn(self._ping(link))
-
-    async def _ping(self, link: _peer_link.PeerLink) -> None:
-        try:
-            await link.call(
-                lambda number: _wire.Ping(number, self.publisher.version), PEER_CALL_SECONDS
-            )
-        except (_peer_link.LinkLostError, _peer_link.NotConnectedError):
-            return
-
     def unready(self) -> str:
         """Return why the entry should get no requests, empty if it is ready."""
         if self.api.stopping:
@@ -416,7 +303,7 @@
                 s for s, each in self.registry.holding_by_shard.items() if each.active
             ),
             "agents": sorted(self.delivery.session_by_id),
-            "peers": sorted(p for p, link in self.link_by_id.items() if link.connected),
+            "peers": sorted(p for p, link in self.peers.link_by_id.items() if link.connected),
             "jobs": len(self.owner.jobs.job_by_key),
             "records": len(self.owner.jobs.record_by_key),
             "open_requests": self.api.open_requests,
