--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -71,7 +71,8 @@
       | submit $job --dry-run                 | work ms                  |
       | entries list                          | entry-1                  |
       | owners list --json                    | "epoch": 2               |
-      | job status 0190                       | complete                 |
+      | job status 0190                       | running                  |
+      | explain 0190                          | running                  |
       | job answer 0190 --json                | {"shade": 7}             |
 
   Scenario: a wrong token is refused
@@ -157,6 +158,21 @@
       | task_failed     | 4      | 1    |
       | outcome_unknown | 4      | 4    |
 
+  Scenario Outline: "<line>" of a job that failed with <kind> ends with <status>
+    Given a daisyfallctl entry
+    And the daisyfallctl entry fails jobs with "<kind>"
+    When daisyfallctl runs "<line>"
+    Then the daisyfallctl exit status is <status>
+
+    Examples:
+      | line            | kind              | status |
+      | job status 0190 | task_failed       | 0      |
+      | job cancel 0190 | cancelled_running | 0      |
+      | explain 0190    | upstream_lost     | 0      |
+      | job status 0190 | not_found         | 3      |
+      | job answer 0190 | task_failed       | 4      |
+      | job answer 0190 | cancelled         | 3      |
+
   Scenario: a submission whose reply is lost is sent again with the same id
     Given a daisyfallctl entry
     And the daisyfallctl entry has the fault "reply lost"
@@ -165,6 +181,21 @@
     And daisyfallctl notes "sent again with the same id"
     And daisyfallctl sent "POST /v1/jobs" 2 times
 
+  Scenario Outline: the client in docs/callers.md handles "<kind>" and a lost reply
+    Given a daisyfallctl entry
+    And the daisyfallctl entry has the fault "reply lost"
+    And the daisyfallctl entry fails jobs with "<kind>"
+    When daisyfallctl tests run the client in docs/callers.md
+    Then the daisyfallctl client ends with "<end>"
+    And daisyfallctl sent "POST /v1/jobs" <sent> times
+    And daisyfallctl sent the same job id each time
+
+    Examples:
+      | kind        | end         | sent |
+      |             | shade       | 2    |
+      | task_failed | task_failed | 2    |
+      | queue_full  | queue_full  | 4    |
+
   Scenario: a made token is accepted by the lists
     When daisyfallctl runs "token colibri-cosmetics --json"
     Then the daisyfallctl token is accepted with its salt and hash
--- a/features/fake_entry.py
+++ b/features/fake_entry.py
@@ -18,6 +18,7 @@
     def __init__(self):
         self.fault = ""
         self.requests: list[str] = []
+        self.job_ids: list[str] = []
         self.base = {
             name: _checked.read_yaml(f"{EXAMPLE}/{name}.yaml") for name in ("plans", "allowances")
         }
@@ -58,7 +59,9 @@
         app.router.add_put("/v1/upstreams/{id}", self._put_upstream)
         app.router.add_delete("/v1/upstreams/{id}", self._delete_upstream)
         app.router.add_post("/v1/jobs", self._job)
-        app.router.add_get("/v1/jobs/{id}", self._job)
+        app.router.add_get("/v1/jobs/{id}", self._job_state)
+        app.router.add_get("/v1/jobs/{id}/explain", self._job_state)
+        app.router.add_delete("/v1/jobs/{id}", self._job_state)
         app.router.add_get("/v1/jobs/{id}/answer", self._job)
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
@@ -155,6 +158,7 @@
 
     async def _job(self, request) -> web.Response:
         job_id = request.match_info.get("id") or (await request.json())["job_id"]
+        self.job_ids.append(job_id)
         fault, self.fault = self.fault, ""
         if fault:
             request.transport.close()
@@ -167,3 +171,12 @@
             return web.json_response(body, status=status)
         body = {"job_id": job_id, "state": "complete", "results": [{"shade": 7}, None]}
         return web.json_response(body)
+
+    async def _job_state(self, request) -> web.Response:
+        job_id = request.match_info["id"]
+        if self.failure is errors.Kind.NOT_FOUND:
+            return await self._job(request)
+        if self.failure:
+            error = errors.DispatchError(self.failure).as_body()
+            return web.json_response({"job_id": job_id, "state": "failed", "error": error})
+        return web.json_response({"job_id": job_id, "state": "running", "tasks": 2, "open": 1})
--- a/features/observation.feature
+++ b/features/observation.feature
@@ -7,9 +7,9 @@
     And the metrics count a reason of 1000 characters as other
 
   Scenario: gauges show the last value and states that are gone become 0
-    When the metrics show upstreams "ready: 3, draining: 1" and then "ready: 2"
+    When the metrics show upstreams "ready: 3, not_ready: 1" and then "ready: 2"
     Then the metrics sample "daisyfall_upstreams" with state "ready" is 2
-    And the metrics sample "daisyfall_upstreams" with state "draining" is 0
+    And the metrics sample "daisyfall_upstreams" with state "not_ready" is 0
 
   Scenario: the lease margin is read at each scrape
     When the metrics take the lease margin from a function that returns 1.5 and then -0.5
--- a/features/steps/ctl_steps.py
+++ b/features/steps/ctl_steps.py
@@ -88,8 +88,9 @@
 
 
 @given('the daisyfallctl entry fails jobs with "{kind}"')
-def set_failure(context, kind):
-    context.entry.failure = fake_entry.errors.Kind(kind)
+@given('the daisyfallctl entry fails jobs with ""')
+def set_failure(context, kind=""):
+    context.entry.failure = fake_entry.errors.Kind(kind) if kind else None
 
 
 @given("the daisyfallctl entry shows the version before in {count:d} status reads")
@@ -111,6 +112,31 @@
         run_program(context, "daisyfallctl", line)
 
 
+@when("daisyfallctl tests run the client in docs/callers.md")
+def run_client(context):
+    document = (document_tables.ROOT / "docs" / "callers.md").read_text()
+    block = document.partition("```python\n")[2].partition("```")[0]
+    assert len([line for line in block.splitlines() if line]) <= 24, "the client has grown"
+    names = {}
+    exec(compile(block, "docs/callers.md", "exec"), names)
+    task = {"kind": "stock", "payload": {}, "run_ms": 50}
+    with mock.patch.object(names["random"], "uniform", lambda low, high: low):
+        try:
+            context.end = str(names["run_job"](context.entry.url, context.token, [task]))
+        except RuntimeError as error:
+            context.end = str(error)
+
+
+@then('the daisyfallctl client ends with "{text}"')
+def check_client(context, text):
+    assert text in context.end, context.end
+
+
+@then("daisyfallctl sent the same job id each time")
+def check_ids(context):
+    assert len(set(context.entry.job_ids)) == 1, context.entry.job_ids
+
+
 @then("the daisyfallctl exit status is {status:d}")
 def check_status(context, status):
     assert context.status == status, (context.status, context.notes)
--- a/features/steps/observation_steps.py
+++ b/features/steps/observation_steps.py
@@ -76,9 +76,9 @@
 def check_metrics_document(context):
     found = document_tables.read("docs/metrics.md", ["metric", "type", "labels"])
     expected = [
-        (name, metric._type, ", ".join(metric._labelnames) or "-")
-        for metric, (name, *_) in _metrics.Metrics().registry._collector_to_names.items()
-        if name.startswith("daisyfall_")
+        (names[0], metric._type, ", ".join(metric._labelnames) or "-")
+        for metric, names in _metrics.Metrics().registry._collector_to_names.items()
+        if names
     ]
     document_tables.compare([(x.removesuffix("_total"), *rest) for x, *rest in found], expected)
 
--- a/src/daisyfall/_ctl_jobs.py
+++ b/src/daisyfall/_ctl_jobs.py
@@ -44,19 +44,7 @@
 @_command_line.command
 def status(job, *, url=None, json=False):
     """Print the state of JOB."""
-
-    async def work(client):
-        try:
-            _, body = await client.request("GET", f"/v1/jobs/{_ctl_client.quote(job)}")
-        except _ctl_client.RefusedError as error:
-            # The state of a failed job was found; only other refusals fail this command.
-            if error.body.get("state") != "failed":
-                raise
-            body = error.body
-        _ctl_output.show_fields(body, as_json=json)
-        return _ctl_output.Exit.DONE
-
-    return _ctl_client.run(url, work, as_json=json)
+    return _show_state("GET", f"/v1/jobs/{_ctl_client.quote(job)}", url, json)
 
 
 @_command_line.command
@@ -95,24 +83,28 @@
         _ctl_output.note(f"dry run, job {job} would be cancelled")
         return _ctl_output.Exit.DONE
 
-    async def work(client):
-        _, body = await client.request("DELETE", f"/v1/jobs/{_ctl_client.quote(job)}")
-        _ctl_output.show_fields(body or {"job_id": job, "cancelled": True}, as_json=json)
-        return _ctl_output.Exit.DONE
-
-    return _ctl_client.run(url, work, as_json=json)
+    return _show_state("DELETE", f"/v1/jobs/{_ctl_client.quote(job)}", url, json)
 
 
 @_command_line.command
 def explain(job, *, url=None, json=False):
-    """Print why JOB is where it is: owner, epoch, limits, upstreams, tasks."""
+    """Print why JOB is where it is: what is open, and what it waits for."""
+    return _show_state("GET", f"/v1/jobs/{_ctl_client.quote(job)}/explain", url, json)
 
+
+def _show_state(method: str, path: str, url: str | None, as_json: bool) -> int:
     async def work(client):
-        _, body = await client.request("GET", f"/v1/jobs/{_ctl_client.quote(job)}/explain")
-        _ctl_output.show_fields(body, as_json=json)
+        try:
+            _, body = await client.request(method, path)
+        except _ctl_client.RefusedError as error:
+            # A reply with status 200 is the state of a failed job, not a refusal.
+            if error.status >= 400:
+                raise
+            body = error.body
+        _ctl_output.show_fields(body, as_json=as_json)
         return _ctl_output.Exit.DONE
 
-    return _ctl_client.run(url, work, as_json=json)
+    return _ctl_client.run(url, work, as_json=as_json)
 
 
 def _read_job(file: str) -> dict:
--- a/src/daisyfall/process/_metrics.py
+++ b/src/daisyfall/process/_metrics.py
@@ -21,7 +21,7 @@
 OUTCOMES = ("done", "failed", "not_started", "lost", "evicted")
 TABLE_OPERATIONS = ("read", "transact")
 TABLE_ERRORS = ("unavailable", "unknown", "conflict")
-UPSTREAM_STATES = ("connecting", "unlisted", "no runner", "ready", "draining", "drained", "absent")
+UPSTREAM_STATES = ("ready", "not_ready")
 
 _SECONDS = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 # The targets are 1.05 at p50 and 1.3 at p99.
