--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -136,6 +136,13 @@
       | upstreams drain upstream-1  |
       | upstreams remove upstream-1 |
 
+  Scenario: a mistyped upstream gets no wish
+    Given a daisyfallctl entry
+    When daisyfallctl runs "upstreams stop upstream-l"
+    Then the daisyfallctl exit status is 3
+    And daisyfallctl notes "did you mean 'upstream-1'?"
+    And daisyfallctl sent no write
+
   Scenario: a drain is waited for with progress
     Given a daisyfallctl entry
     When daisyfallctl runs "upstreams drain upstream-1 --wait"
--- a/src/daisyfall/_ctl_operate.py
+++ b/src/daisyfall/_ctl_operate.py
@@ -1,9 +1,11 @@
 """daisyfallctl: commands of operators on upstreams, entries and owners, and on tokens."""
 
 import asyncio
+import difflib
 import pathlib
 import secrets
 
+import attrs
 import yaml
 
 from daisyfall import _command_line, _ctl_client, _ctl_output, errors
@@ -32,25 +34,53 @@
 
 
 @_command_line.command
-def start(upstream, *, url=None, dry_run=False, json=False):
-    """Let UPSTREAM take work."""
-    return _change_wish(upstream, "started", url=url, dry_run=dry_run, as_json=json)
+def start(upstream, *, url=None, absent=False, dry_run=False, json=False):
+    """Let UPSTREAM take work.
+
+    --absent sets the wish even if no upstream of this name is known to the entry.
+    """
+    change = _Change(upstream, "started", absent, dry_run, json)
+    return _ctl_client.run(url, change.apply, as_json=json)
 
 
 @_command_line.command
-def drain(upstream, *, url=None, wait=False, limit_seconds=60, dry_run=False, json=False):
-    """Give UPSTREAM no new work; --wait returns when nothing runs or waits there."""
+def drain(
+    upstream,
+    *,
+    url=None,
+    wait=False,
+    limit_seconds=60,
+    absent=False,
+    dry_run=False,
+    json=False,
+):
+    """Give UPSTREAM no new work; --wait returns when nothing runs or waits there.
+
+    --absent sets the wish even if no upstream of this name is known to the entry.
+    """
     limit = limit_seconds if wait else None
-    options = {"url": url, "dry_run": dry_run, "as_json": json, "limit_seconds": limit}
-    return _change_wish(upstream, "draining", **options)
+    change = _Change(upstream, "draining", absent, dry_run, json, limit)
+    return _ctl_client.run(url, change.apply, as_json=json)
 
 
 @_command_line.command
-def stop(upstream, *, url=None, wait=False, limit_seconds=60, dry_run=False, json=False):
-    """Let UPSTREAM finish what runs and then stop; --wait returns when nothing runs there."""
+def stop(
+    upstream,
+    *,
+    url=None,
+    wait=False,
+    limit_seconds=60,
+    absent=False,
+    dry_run=False,
+    json=False,
+):
+    """Let UPSTREAM finish what runs and then stop; --wait returns when nothing runs there.
+
+    --absent sets the wish even if no upstream of this name is known to the entry.
+    """
     limit = limit_seconds if wait else None
-    options = {"url": url, "dry_run": dry_run, "as_json": json, "limit_seconds": limit}
-    return _change_wish(upstream, "stopped", **options)
+    change = _Change(upstream, "stopped", absent, dry_run, json, limit)
+    return _ctl_client.run(url, change.apply, as_json=json)
 
 
 @_command_line.command
@@ -153,21 +183,43 @@
     return rows[0] if rows else None
 
 
-def _change_wish(upstream, wish, *, url, dry_run, as_json, limit_seconds=None) -> int:
-    if dry_run:
-        _ctl_output.note(f"dry run, the wish for upstream {upstream} would become {wish}")
-        return _ctl_output.Exit.DONE
-
-    async def work(client):
-        await _put_wish(client, upstream, wish)
-        if limit_seconds is not None and not await _wait_until_idle(
-            client, upstream, limit_seconds
-        ):
+@attrs.frozen
+class _Change:
+    """An operator's change of the wish for an upstream; `limit_seconds` None: don't wait."""
+
+    upstream: str
+    wish: str
+    absent: bool
+    dry_run: bool
+    as_json: bool
+    limit_seconds: float | None = None
+
+    async def apply(self, client) -> int:
+        """Put the wish and wait for its effect as far as it was asked for."""
+        if not self.absent:
+            await _check_known(client, self.upstream)
+        if self.dry_run:
+            text = f"dry run, the wish for upstream {self.upstream} would become {self.wish}"
+            _ctl_output.note(text)
+            return _ctl_output.Exit.DONE
+        await _put_wish(client, self.upstream, self.wish)
+        limit = self.limit_seconds
+        if limit is not None and not await _wait_until_idle(client, self.upstream, limit):
             return _ctl_output.Exit.NOT_YET
-        _ctl_output.show_fields({"id": upstream, "wish": wish}, as_json=as_json)
+        shown = {"id": self.upstream, "wish": self.wish}
+        _ctl_output.show_fields(shown, as_json=self.as_json)
         return _ctl_output.Exit.DONE
 
-    return _ctl_client.run(url, work, as_json=as_json)
+
+async def _check_known(client, upstream: str) -> None:
+    """Refuse a mistyped name; the entry would keep a wish for any name."""
+    known = [str(row.get("id")) for row in await _read_upstreams(client)]
+    if upstream not in known:
+        near = difflib.get_close_matches(upstream, known, n=1)
+        hint = f"did you mean {near[0]!r}?" if near else "see upstreams list, or --absent"
+        detail = f"upstream {upstream!r} is not known to the entry, {hint}"
+        error = {"kind": "not_found", "detail": detail, "run": "not run"}
+        raise _ctl_client.RefusedError(404, {"error": error})
 
 
 async def _put_wish(client, upstream: str, wish: str) -> None:
--- a/src/daisyfall/_ctl_output.py
+++ b/src/daisyfall/_ctl_output.py
@@ -20,7 +20,7 @@
     USAGE = 2  # command line, environment or a local file is wrong; nothing was sent
     REFUSED = 3  # refused; what was asked for was not run
     MAY_HAVE_RUN = 4  # the job failed, or a write failed, and it may have run
-    CONFLICT = 5  # another edit of the lists was accepted first
+    CONFLICT = 5  # another edit was accepted first, or the upstream is still connected
     INVALID = 6  # the lists break a rule
     UNREACHABLE = 7  # no entry could be reached; nothing was sent
     UNKNOWN = 8  # no reply came, and reading back did not settle the outcome
--- a/src/daisyfall/process/_agent.py
+++ b/src/daisyfall/process/_agent.py
@@ -194,6 +194,8 @@
     def refresh_metrics(self) -> None:
         """See `_agent_api.Source`."""
         self.metrics.agent(self._ledger_sizes(), self._executor.running, self._executor.queued)
+        self.metrics.epochs(self._ledger.epoch_count)
+        self.metrics.list_version(self._lists_version)
 
     # State.
 
--- a/src/daisyfall/process/_entry.py
+++ b/src/daisyfall/process/_entry.py
@@ -120,6 +120,7 @@
 
     def on_active(self, shard: int) -> None:
         """Use a shard."""
+        self.metrics.epoch_activated()
         if self.registry.holding_by_shard[shard].epoch > 1:
             self.dispatcher.activated(shard, _clock.monotonic())
         self.delivery.pump_soon()
@@ -251,6 +252,7 @@
     def _measure(self) -> None:
         registry = self.registry
         self.metrics.owned_shards(sum(each.active for each in registry.holding_by_shard.values()))
+        self.metrics.epochs(len(registry.view.shard_by_number))
         self.metrics.roster_size(len(registry.view.entry_by_id))
         self.metrics.jobs_in_memory(
             len(self.owner.jobs.job_by_key) + len(self.owner.jobs.record_by_key)
--- a/src/daisyfall/process/_metrics.py
+++ b/src/daisyfall/process/_metrics.py
@@ -57,7 +57,9 @@
 
     def _make_histograms(self) -> None:
         self._queue_time = self._histogram(
-            "queue_seconds", "Time from the admission of a task to its start order", _SECONDS
+            "queue_seconds",
+            "Time from the admission of a job to each of its start messages",
+            _SECONDS,
         )
         self._ratio = self._histogram(
             "response_over_ideal", "Response time of complete jobs over the ideal", _RATIOS
@@ -113,7 +115,7 @@
         self._bounded(self._results, outcome).inc(tasks)
 
     def queued_for(self, seconds: float) -> None:
-        """Record how long a task waited from its admission to its start order."""
+        """Record the time from a job's admission to one of its start messages."""
         self._queue_time.observe(seconds)
 
     def responded(self, ratio: float) -> None:
--- a/src/daisyfall/request/_ledger.py
+++ b/src/daisyfall/request/_ledger.py
@@ -85,6 +85,11 @@
     def __len__(self) -> int:
         return len(self._job_by_key)
 
+    @property
+    def epoch_count(self) -> int:
+        """Return the number of shards of which an epoch was seen."""
+        return len(self._epoch_by_shard)
+
     def epoch_of(self, shard: int) -> int:
         """Return the highest epoch seen of a shard, 0 if none was."""
         return self._epoch_by_shard.get(shard, 0)
--- a/src/daisyfall/request/_owner.py
+++ b/src/daisyfall/request/_owner.py
@@ -156,6 +156,7 @@
         job = self.jobs.job_by_key.get(key)
         if job is not None:
             job.sent = True
+            self._metrics.queued_for(_clock.monotonic() - job.submitted_at)
 
     def task_result(
         self, agent_id: str, key: _work.Key, index: int, *, outcome: int, value, run_ms: float
