--- a/features/document_tables.py
+++ b/features/documents.py
@@ -1,7 +1,10 @@
-"""Tables of the Markdown documents, compared with what the code holds."""
+"""YAML documents with changes, and tables of the Markdown documents compared with the code."""
 
+import copy
 import pathlib
 
+import yaml
+
 ROOT = pathlib.Path(__file__).parents[1]
 
 
@@ -27,3 +30,18 @@
     assert not missing, f"missing in the document: {missing}"
     assert not surplus, f"not so in the code: {surplus}"
     assert len(found) == len(set(found)), "a row stands twice"
+
+
+def change(document: dict, text: str) -> dict:
+    """Return a copy with each `key.path=value` of `text` set; nothing behind = removes the key."""
+    changed = copy.deepcopy(document)
+    for each in filter(None, text.split("; ")):
+        path, _, value = each.partition("=")
+        *sections, key = path.split(".")
+        place = changed
+        for section in sections:
+            place = place.setdefault(section, {})
+        place[key] = yaml.safe_load(value)
+        if value == "":
+            del place[key]
+    return changed
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -28,6 +28,7 @@
       | entry | id=a/b                           | id                            | 'a/b'           | 1 to 64 of A-Za-z0-9._-             |
       | entry | keys=[short]                     | keys[0]                       | <redacted>      | at least 16 characters              |
       | entry | operator_tokens=[plain-secret]   | operator_tokens[0]            | <redacted>      | salt$hash                           |
+      | entry | jobs.retention_ms=599999         | jobs.retention_ms             | 599999          | 600000 to 3600000                   |
       | agent | entries=[nowhere]                | entries[0]                    | 'nowhere'       | host:port                           |
       | agent | runner.slots=0                   | runner.slots                  | 0               | 1 to 4096                           |
 
@@ -39,7 +40,7 @@
       | entry | lease.heartbeat_ms=3000     | lease.heartbeat_ms      | 3000  | less than lease.heartbeat_limit_ms (3000)       |
       | entry | table.timeout_ms=2000       | table.timeout_ms        | 2000  | less than lease.lease_ms (2000)                 |
       | entry | jobs.clock_tolerance_ms=5001 | jobs.clock_tolerance_ms | 5001 | at most jobs.clock_skew_ms (5000)               |
-      | entry | jobs.retention_ms=10000     | jobs.clock_skew_ms      | 5000  | less than half of jobs.retention_ms (5000)      |
+      | entry | jobs.clock_skew_ms=300000   | jobs.clock_skew_ms      | 300000 | less than half of jobs.retention_ms (300000)   |
       | entry | limits.request_timeout_ms=300001 | limits.request_timeout_ms | 300001 | at most half of jobs.retention_ms (300000) |
       | entry | http.host=0.0.0.0           | http.advertise_host     | ''    | an address that others can dial                 |
       | entry | peer.port=7200              | peer.port               | 7200  | another port than http.port (7200)              |
--- a/features/steps/ctl_steps.py
+++ b/features/steps/ctl_steps.py
@@ -11,7 +11,7 @@
 import tempfile
 from unittest import mock
 
-import document_tables
+import documents
 import fake_entry
 import yaml
 from behave import given, then, when
@@ -114,7 +114,7 @@
 
 @when("daisyfallctl tests run the client in docs/callers.md")
 def run_client(context):
-    document = (document_tables.ROOT / "docs" / "callers.md").read_text()
+    document = (documents.ROOT / "docs" / "callers.md").read_text()
     block = document.partition("```python\n")[2].partition("```")[0]
     assert len([line for line in block.splitlines() if line]) <= 24, "the client has grown"
     names = {}
@@ -191,9 +191,9 @@
 
 @then("the daisyfallctl exit statuses in docs/operations.md match the code")
 def check_statuses(context):
-    found = document_tables.read("docs/operations.md", ["status", "name"])
+    found = documents.read("docs/operations.md", ["status", "name"])
     expected = [(str(each.value), each.name) for each in _ctl_output.Exit]
-    document_tables.compare(found, expected)
+    documents.compare(found, expected)
 
 
 def walk(commands: dict, path: str):
@@ -206,6 +206,6 @@
 
 @then("the daisyfallctl commands in docs/operations.md match the code")
 def check_commands(context):
-    found = document_tables.read("docs/operations.md", ["command"])
+    found = documents.read("docs/operations.md", ["command"])
     expected = [*walk(ctl.COMMANDS, "daisyfallctl"), *walk(daemon.COMMANDS, "daisyfalld")]
-    document_tables.compare(found, expected)
+    documents.compare(found, expected)
--- a/features/steps/lists_steps.py
+++ b/features/steps/lists_steps.py
@@ -1,10 +1,9 @@
 """Steps on the check, the diff and the tokens of the lists."""
 
-import copy
 import pathlib
 from unittest import mock
 
-import yaml
+import documents
 from behave import given, then, when
 
 from daisyfall import _checked, errors
@@ -14,23 +13,8 @@
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
 
 
-def build(documents: dict) -> _lists.Lists:
-    return _lists_check.build(1, documents["plans"], documents["allowances"])
-
-
-def change(documents: dict, text: str) -> dict:
-    """Return the documents with `path=value` set; an empty value removes the key."""
-    changed = copy.deepcopy(documents)
-    for each in text.split("; "):
-        path, _, value = each.partition("=")
-        *sections, key = path.split(".")
-        place = changed
-        for section in sections:
-            place = place.setdefault(section, {})
-        place[key] = yaml.safe_load(value)
-        if value == "":
-            del place[key]
-    return changed
+def build(both: dict) -> _lists.Lists:
+    return _lists_check.build(1, both["plans"], both["allowances"])
 
 
 def problems(context) -> list[dict]:
@@ -55,7 +39,7 @@
 
 @when('the lists change "{text}"')
 def apply_change(context, text):
-    context.documents = change(context.documents, text)
+    context.documents = documents.change(context.documents, text)
 
 
 @then('the lists are refused at "{path}", found "{found}", expected "{expected}"')
@@ -84,7 +68,9 @@
 
 @then('the lists have another digest after "{text}"')
 def check_other_digest(context, text):
-    assert build(change(context.documents, text)).digest != build(context.documents).digest
+    assert (
+        build(documents.change(context.documents, text)).digest != build(context.documents).digest
+    )
 
 
 @then('the lists diff is "{line}"')
--- a/features/steps/observation_steps.py
+++ b/features/steps/observation_steps.py
@@ -3,7 +3,7 @@
 import io
 import json
 
-import document_tables
+import documents
 from behave import given, then, when
 from loguru import logger
 
@@ -74,19 +74,19 @@
 
 @then("the metrics table in docs/metrics.md matches the code")
 def check_metrics_document(context):
-    found = document_tables.read("docs/metrics.md", ["metric", "type", "labels"])
+    found = documents.read("docs/metrics.md", ["metric", "type", "labels"])
     expected = [
         (names[0], metric._type, ", ".join(metric._labelnames) or "-")
         for metric, names in _metrics.Metrics().registry._collector_to_names.items()
         if names
     ]
-    document_tables.compare([(x.removesuffix("_total"), *rest) for x, *rest in found], expected)
+    documents.compare([(x.removesuffix("_total"), *rest) for x, *rest in found], expected)
 
 
 @then("the error kinds table in docs/callers.md matches the code")
 def check_error_document(context):
     columns = ["kind", "status", "run", "retry", "hint (ms)", "meaning"]
-    found = document_tables.read("docs/callers.md", columns)
+    found = documents.read("docs/callers.md", columns)
     expected = [
         (
             kind.value,
@@ -98,7 +98,7 @@
         )
         for kind, answer in errors.ANSWERS.items()
     ]
-    document_tables.compare(found, expected)
+    documents.compare(found, expected)
 
 
 @given('a log of form "{form}" with the key "{key}"')
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -5,7 +5,7 @@
 import typing
 
 import attrs
-import document_tables
+import documents
 import yaml
 from behave import given, then
 
@@ -18,16 +18,10 @@
     folder = ROOT / "examples" / "cooperative"
     document = yaml.safe_load((folder / f"{role}.yaml").read_text())
     document["secrets_file"] = str(folder / "secrets.yaml")
-    for each in filter(None, change.split("; ")):
-        path, _, value = each.partition("=")
-        *sections, key = path.split(".")
-        place = document
-        for section in sections:
-            place = place.setdefault(section, {})
-        place[key] = "" if value == "" else yaml.safe_load(value)
-        if path in ("keys", "operator_tokens"):
-            del document["secrets_file"]
-            document.setdefault("keys", ["a-key-of-16-characters"])
+    document = documents.change(document, change)
+    if "keys=" in change or "operator_tokens=" in change:
+        del document["secrets_file"]
+        document.setdefault("keys", ["a-key-of-16-characters"])
     temporary = tempfile.TemporaryDirectory()
     context.add_cleanup(temporary.cleanup)
     context.file = pathlib.Path(temporary.name) / f"{role}.yaml"
@@ -134,5 +128,5 @@
 
 @then("the settings table in docs/settings.md matches the data classes")
 def check_document(context):
-    found = document_tables.read("docs/settings.md", ["key", "type", "default", "limits"])
-    document_tables.compare(found, list(describe(_settings.Settings)))
+    found = documents.read("docs/settings.md", ["key", "type", "default", "limits"])
+    documents.compare(found, list(describe(_settings.Settings)))
--- a/src/daisyfall/process/_settings.py
+++ b/src/daisyfall/process/_settings.py
@@ -62,7 +62,8 @@
 class JobSettings:
     """Memory of jobs and the queue."""
 
-    retention_ms: DurationMs = 600_000
+    # Deadlines are at most half the retention time, and lists accept deadlines up to 300 s.
+    retention_ms: Annotated[int, Range(600_000, 3_600_000)] = 600_000
     clock_skew_ms: DurationMs = 5_000
     clock_tolerance_ms: DurationMs = 1_000
     answer_memory_mb: Annotated[int, Range(1, 65_536)] = 64
--- a/src/daisyfall/version/_lists.py
+++ b/src/daisyfall/version/_lists.py
@@ -8,7 +8,7 @@
 
 from daisyfall._checked import Pattern, Range
 
-# Half of the retention time of 600 s: a longer job could outlive the memory of its starts.
+# Half of the shortest retention time: a longer job could outlive the memory of its starts.
 LONGEST_DEADLINE_MS = 300_000
 LARGEST_JOB_TASKS = 1_900
 
