Estimate run times from the declared ones where they are steady

Cause: tasks of one kind with run times of 50 ms to 5 s were all estimated by the mean of the kind, so the longest task was not started first and the order by slack put single short tasks behind large jobs. Change: per buyer and kind, the error of the mean and the error of the declared time times a learnt factor are compared, and the better one is used; a straggler is judged against the same estimate.

--- a/src/daisyfall/request/_admission.py
+++ b/src/daisyfall/request/_admission.py
@@ -39,21 +39,21 @@
     buyer: str, tasks: list[_work.Task], estimates: _estimates.Estimates
 ) -> tuple[list[_queue.Entry], float, float]:
     """Return the queue entries, the total learnt run time and the longest one in ms."""
-    learnt_by_kind: dict[str, float | None] = {}
+    record_by_kind: dict[str, _estimates.Record | None] = {}
     entries = []
     total_ms = longest_ms = 0.0
     for task in tasks:
         kind = task.kind
-        if kind in learnt_by_kind:
-            learnt = learnt_by_kind[kind]
+        if kind in record_by_kind:
+            record = record_by_kind[kind]
         else:
-            found = estimates.find(buyer, kind)
-            learnt = learnt_by_kind[kind] = found.mean_ms if found else None
-        if learnt is None:
+            record = record_by_kind[kind] = estimates.find(buyer, kind)
+        if record is None:
             counted = estimates.counted_ms(task.run_ms)
             placed = max(task.run_ms, _estimates.UNLEARNT_MS)
             entries.append((placed, task.run_ms, -task.index, counted, task))
             continue
+        learnt = record.predict(task.run_ms)
         entries.append((learnt, task.run_ms, -task.index, learnt, task))
         total_ms += learnt
         longest_ms = max(longest_ms, learnt)
--- a/src/daisyfall/request/_estimates.py
+++ b/src/daisyfall/request/_estimates.py
@@ -1,4 +1,10 @@
-"""What was learnt per buyer and kind: run times, and how many tasks ended well or failed."""
+"""What was learnt per buyer and kind: run times, and how many tasks ended well or failed.
+
+A kind whose declared run times follow the measured ones by a steady factor is
+estimated by the declared time and that factor, any other one by its mean.
+"""
+
+import math
 
 import attrs
 
@@ -11,6 +17,8 @@
 _CLIP_FACTOR = 8.0
 _MAX_KINDS = 20_000
 _WINDOW = 128.0
+# Samples before the declared times of a kind are believed at all.
+_FACTOR_AFTER = 8
 
 
 @attrs.define(slots=True, eq=False)
@@ -22,9 +30,23 @@
     done: float = 0.0
     failed: float = 0.0
     failed_by_agent: dict[str, float] = attrs.Factory(dict)
-
-    def add(self, run_ms: float) -> None:
+    log_run: float = 0.0
+    log_run_error: float = 0.0
+    log_factor: float = 0.0
+    log_factor_error: float = 0.0
+    declared: int = 0  # samples with a declared run time
+
+    def predict(self, declared_ms: float) -> float:
+        """Return the expected run time in ms of a task with this declared run time."""
+        trusted = self.declared >= _FACTOR_AFTER and self.log_factor_error < self.log_run_error
+        if declared_ms <= 0 or not trusted:
+            return self.mean_ms
+        return max(FLOOR_MS, declared_ms * math.exp(self.log_factor))
+
+    def add(self, run_ms: float, declared_ms: float) -> None:
         """Add a task that ended well and move the mean towards its run time."""
+        if declared_ms > 0:
+            self._add_factor(max(run_ms, FLOOR_MS), declared_ms)
         self.samples += 1
         # A straggler's single result must not move the estimate of the whole kind.
         if self.samples > _CLIP_AFTER and run_ms > _CLIP_FACTOR * self.mean_ms:
@@ -36,6 +58,18 @@
         if self.done > _WINDOW:
             self._halve()
 
+    def _add_factor(self, run_ms: float, declared_ms: float) -> None:
+        self.declared += 1
+        weight = max(1.0 / self.declared, _SMOOTHING)
+        log_run = math.log(run_ms)
+        log_factor = log_run - math.log(declared_ms)
+        if self.declared > 1:
+            self.log_run_error += weight * (abs(log_run - self.log_run) - self.log_run_error)
+            error = abs(log_factor - self.log_factor)
+            self.log_factor_error += weight * (error - self.log_factor_error)
+        self.log_run += weight * (log_run - self.log_run)
+        self.log_factor += weight * (log_factor - self.log_factor)
+
     def add_failure(self, agent_id: str) -> None:
         """Add a task that failed at an agent."""
         self.failed += 1.0
@@ -81,7 +115,7 @@
             return FLOOR_MS
         return max(min(declared_ms, self._overall.mean_ms), FLOOR_MS)
 
-    def learn(self, record: Record, run_ms: float) -> None:
+    def learn(self, record: Record, run_ms: float, declared_ms: float) -> None:
         """Add the measured run time of one task that ended well."""
-        record.add(run_ms)
-        self._overall.add(run_ms)
+        record.add(run_ms, declared_ms)
+        self._overall.add(run_ms, 0)
--- a/src/daisyfall/request/_flight.py
+++ b/src/daisyfall/request/_flight.py
@@ -76,8 +76,9 @@
         agent, entry = self.release(job, index)
         record = self._estimates.record(job.key[0], entry[4].kind)
         if outcome in (_wire.DONE, _wire.EVICTED):
-            ratio = _health.ratio(record, run_ms)
-            self._estimates.learn(record, run_ms)
+            declared_ms = entry[4].run_ms
+            ratio = _health.ratio(record, run_ms, declared_ms)
+            self._estimates.learn(record, run_ms, declared_ms)
             job.done += 1
             if self._health.done(agent, job.key, ratio, now):
                 self.changed_shares.add(agent)
--- a/src/daisyfall/request/_health.py
+++ b/src/daisyfall/request/_health.py
@@ -297,11 +297,11 @@
         return min(times, default=None)
 
 
-def ratio(record: _estimates.Record | None, run_ms: float) -> float:
+def ratio(record: _estimates.Record | None, run_ms: float, declared_ms: float) -> float:
     """Return a run time over the learnt one, 1 as long as too little is learnt."""
     if record is None or record.samples < _MIN_SAMPLES:
         return 1.0
-    return min(_MAX_RATIO, (run_ms + _JITTER_MS) / (record.mean_ms + _JITTER_MS))
+    return min(_MAX_RATIO, (run_ms + _JITTER_MS) / (record.predict(declared_ms) + _JITTER_MS))
 
 
 def weigh(record: _estimates.Record, job: _queue.Job, agent_id: str) -> float:
