--- a/features/processes.feature
+++ b/features/processes.feature
@@ -20,3 +20,9 @@
 
   Scenario: the settings of daemons are valid
     Then the fleet writes settings for an entry and an agent that daisyfalld accepts
+
+  # A start that a killed runner forgot would hide a double start.
+  Scenario: the starts of a killed and restarted runner are still counted
+    Given the fleet runs a table and two runners
+    When the fleet's first runner starts a task, is killed, restarted and starts the task again
+    Then the fleet counts that task as started twice
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from daisyfall.process import _settings_load
-from daisyfall_standins import processes
+from daisyfall_standins import cluster, processes
 
 
 @given("the fleet runs a table and two runners")
@@ -33,6 +33,26 @@
             assert process.terminate() == 0, process.tail()
 
 
+@when("the fleet's first runner starts a task, is killed, restarted and starts the task again")
+def start_twice(context):
+    process = context.fleet_runner
+    task = {"task_id": "roca/1/0", "kind": "load", "payload": {"token": "t", "run_ms": 0}}
+    for _ in range(2):
+        process.wait_ready()
+        status, answer = cluster.call("POST", f"{process.url}/v1/tasks", task)
+        assert (status, answer) == (200, {"result": task["payload"]}), answer
+        process.kill()
+        context.fleet.restart(process)
+
+
+@then("the fleet counts that task as started twice")
+def check_twice(context):
+    stand_ins = context.fleet.process_by_name
+    runners = [context.fleet_runner, stand_ins["runner-2"]]
+    counted = cluster.Cluster(context.fleet, stand_ins["table"], None, runners=runners).starts()
+    assert counted.twice == ["roca/1/0", "t"] and counted.total == 2, counted
+
+
 @when("the fleet ends")
 def end_fleet(context):
     context.fleet.end()
--- a/src/daisyfall_standins/cli.py
+++ b/src/daisyfall_standins/cli.py
@@ -30,6 +30,7 @@
     agents="",
     ports=0,
     ids="",
+    journals="",
     labels="",
     host: str = "127.0.0.1",
     slots: int = 8,
@@ -38,7 +39,11 @@
     accelerators: int = 0,
     link_delay_ms: float = 0.0,
 ) -> None:
-    """Run one runner for each port; `agents`, `ports` and `ids` are comma-separated lists."""
+    """Run one runner for each port.
+
+    `agents` (URLs), `ports`, `ids` and `journals` (files for the starts) are comma-separated
+    lists with one item for each runner.
+    """
     common = runner.Settings(
         slots=slots,
         connections=connections,
@@ -47,20 +52,17 @@
         labels=split(labels),
         link_delay_ms=link_delay_ms,
     )
-    uvloop.run(_serve_runners(common, host, split(ports), split(agents), split(ids)))
+    each = {"id": split(ids), "agent_url": split(agents), "journal": split(journals)}
+    uvloop.run(_serve_runners(common, host, split(ports), each))
 
 
 async def _serve_runners(
-    common: runner.Settings, host: str, ports: list[str], agents: list[str], ids: list[str]
+    common: runner.Settings, host: str, ports: list[str], each: dict[str, list[str]]
 ) -> None:
     servers = []
     for index, port in enumerate(ports):
-        settings = attrs.evolve(
-            common,
-            id=ids[index] if ids else f"runner-{port}",
-            agent_url=agents[index] if agents else "",
-            seed=index,
-        )
+        own = {name: values[index] for name, values in each.items() if values}
+        settings = attrs.evolve(common, **{"id": f"runner-{port}", "seed": index} | own)
         servers.append(runner.RunnerServer(runner.Runner(settings), host, int(port)))
     await _server.serve(servers)
 
--- a/src/daisyfall_standins/cluster.py
+++ b/src/daisyfall_standins/cluster.py
@@ -153,13 +153,15 @@
         return call(method, url, body, self.fleet.operator_token)
 
     def starts(self) -> Starts:
-        """Return the starts that all runners counted."""
-        by_id: collections.Counter[str] = collections.Counter()
-        by_token: collections.Counter[str] = collections.Counter()
-        for runner in self.runners:
-            _, counted = call("GET", f"{runner.url}/v1/starts?ids=1")
-            by_id.update(counted["count_by_id"])
-            by_token.update(counted["count_by_token"])
+        """Return the starts in the journals of all runners, of those that were killed too."""
+        rows = [
+            json.loads(line)
+            for runner in self.runners
+            if runner.journal.exists()
+            for line in runner.journal.read_text().splitlines()
+        ]
+        by_id = collections.Counter(task_id for task_id, _ in rows)
+        by_token = collections.Counter(token for _, token in rows if token)
         return Starts(by_id, by_token)
 
     def sum_metric(self, name: str, group: list[processes.Process] | None = None) -> float:
--- a/src/daisyfall_standins/processes.py
+++ b/src/daisyfall_standins/processes.py
@@ -55,8 +55,10 @@
     name: str
     url: str
     log: pathlib.Path
+    command: list[str]
     popen: subprocess.Popen
     peer: str = ""  # entry: host:port for agents and other entries
+    journal: pathlib.Path | None = None  # runner: file of the tasks that it started
 
     @property
     def pid(self) -> int:
@@ -162,14 +164,17 @@
         if former is not None and former.popen.poll() is None:
             raise ProcessError(f"{name} already runs as process {former.pid}")
         log = self._path / f"{name}.log"
-        with log.open("ab") as output:
-            popen = subprocess.Popen(
-                [sys.executable, "-m", *command], stdout=output, stderr=subprocess.STDOUT
-            )
-        process = Process(name, url, log, popen, peer)
+        command = [sys.executable, "-m", *command]
+        process = Process(name, url, log, command, _spawn(command, log), peer)
         self.process_by_name[name] = process
         return process
 
+    def restart(self, process: Process) -> None:
+        """Start a process that has ended again, with the same command and ports."""
+        if process.popen.poll() is None:
+            raise ProcessError(f"{process.name} still runs as process {process.pid}")
+        process.popen = _spawn(process.command, process.log)
+
     def start_table(self, name: str = "table", port: int = 0, **options) -> Process:
         """Start the table; `options` are those of `daisyfall-standin table`."""
         return self._start_stand_in("table", name, port or free_port(), options)
@@ -181,8 +186,11 @@
     def start_runner(self, name: str, agent_url: str, port: int = 0, **options) -> Process:
         """Start the runner of one agent; `options` are those of `daisyfall-standin runner`."""
         port = port or free_port()
-        options = {"agents": agent_url, "ids": name, **options}
-        return self._start_stand_in("runner", name, port, options, port_option="ports")
+        journal = self._path / f"{name}.starts"
+        options = {"agents": agent_url, "ids": name, "journals": journal, **options}
+        process = self._start_stand_in("runner", name, port, options, port_option="ports")
+        process.journal = journal
+        return process
 
     def start_daemon(self, name: str, settings: dict) -> Process:
         """Start a daemon; `settings` has the keys of `daisyfall.process._settings.Settings`."""
@@ -230,6 +238,11 @@
         return self.start(name, command, f"http://{HOST}:{port}")
 
 
+def _spawn(command: list[str], log: pathlib.Path) -> subprocess.Popen:
+    with log.open("ab") as output:
+        return subprocess.Popen(command, stdout=output, stderr=subprocess.STDOUT)
+
+
 def free_port() -> int:
     """Return a loopback port that no process listens on and no earlier call returned."""
     candidates = [port for port in _PORTS if port not in _chosen_ports]
--- a/src/daisyfall_standins/runner.py
+++ b/src/daisyfall_standins/runner.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import collections
+import json
 import random
 from typing import Any
 
@@ -36,6 +37,7 @@
     labels: list[str] = attrs.Factory(list)
     announce_ms: float = 1000.0
     link_delay_ms: float = 0.0
+    journal: str = ""  # file that gets `[task_id, token]` of each start, so that a kill loses none
     seed: int = 0
 
 
@@ -70,7 +72,9 @@
 class Starts:
     """Counts of the tasks that were started."""
 
-    def __init__(self):
+    def __init__(self, journal: str = ""):
+        # Unbuffered, because a start must be on record before the task runs.
+        self._journal = open(journal, "ab", buffering=0) if journal else None  # noqa: SIM115
         self.count_by_id: collections.Counter[str] = collections.Counter()
         self.count_by_token: collections.Counter[str] = collections.Counter()
         self.running = 0
@@ -79,9 +83,12 @@
 
     def begin(self, task: "TaskRequest") -> None:
         """Count one start."""
+        token = str(task.payload.get("token", "")) if isinstance(task.payload, dict) else ""
+        if self._journal is not None:
+            self._journal.write(json.dumps([task.task_id, token]).encode() + b"\n")
         self.count_by_id[task.task_id] += 1
-        if isinstance(task.payload, dict) and "token" in task.payload:
-            self.count_by_token[str(task.payload["token"])] += 1
+        if token:
+            self.count_by_token[token] += 1
         self.running += 1
         self.most_running = max(self.most_running, self.running)
 
@@ -107,7 +114,7 @@
     def __init__(self, settings: Settings):
         self.settings = settings
         self.switches = Switches(link_delay_ms=settings.link_delay_ms)
-        self.starts = Starts()
+        self.starts = Starts(settings.journal)
         self._requests = 0
         self._slots = asyncio.Semaphore(settings.slots)
         self._switched = asyncio.Event()
