--- a/features/steps/agent_tasks_steps.py
+++ b/features/steps/agent_tasks_steps.py
@@ -80,6 +80,6 @@
     world = context.world
     entry = world.entry_by_id[entry_id]
     report = world.run(entry.wait_message(_wire.FenceReport, lambda report: report.epoch == epoch))
-    started = {row[1]: row[4] for row in report.jobs}
+    started = {row[1]: int.from_bytes(row[4], "little") for row in report.jobs}
     expected = sum(1 << index for index in numbers(indices))
     assert started.get(world.job(job), 0) == expected, report
--- a/src/daisyfall/_wire.py
+++ b/src/daisyfall/_wire.py
@@ -171,7 +171,8 @@
 class FenceReport:
     """Agent to entry: the jobs of a shard, `[[buyer, job_id, digest, count, started, finished]]`.
 
-    `started` and `finished` are bitmaps by task index; `last` ends the report.
+    `started` and `finished` are bitmaps by task index, as little-endian bytes: index `i`
+    is bit `i % 8` of byte `i // 8`. `last` ends the report.
     """
 
     shard: int
--- a/src/daisyfall/connection/_entry_links.py
+++ b/src/daisyfall/connection/_entry_links.py
@@ -3,13 +3,12 @@
 import asyncio
 import random
 
-import loguru
 import websockets.asyncio.client
 import websockets.exceptions
 
 from daisyfall import _wire
 from daisyfall.connection import _entry_link, _handshake
-from daisyfall.process import _metrics, _settings
+from daisyfall.process import _log, _metrics, _settings
 
 BACKOFF_FIRST_SECONDS = 0.05
 BACKOFF_LIMIT_SECONDS = 1.0
@@ -46,7 +45,7 @@
         self._task_by_id: dict[str, asyncio.Task] = {}
         self._seed_task: asyncio.Task | None = None
         self._changed = asyncio.Event()
-        self._log = loguru.logger.bind(agent=settings.id)
+        self._reason_by_address: dict[str, str] = {}
 
     def start(self) -> None:
         """Start to dial."""
@@ -132,24 +131,29 @@
                 close_timeout=CLOSE_TIMEOUT_SECONDS,
                 proxy=None,
             )
-        except _DIAL_ERRORS as error:
+        except _DIAL_ERRORS:
             self._metrics.link_failed("dial")
-            self._log.debug("entry {} can't be reached: {}", address, error)
             return False
         began = loop.time()
         try:
             await self._serve(socket, expected_id)
         except _DIAL_ERRORS as error:
             self._metrics.link_failed("protocol")
-            self._log.debug("link to {} ended: {}", address, error)
-        except Exception:
+            self._report(address, str(error))
+        except Exception as error:
             # A message that can't be handled ends its link only, not the dialling task.
             self._metrics.link_failed("internal")
-            self._log.exception("link to {} failed", address)
+            _log.failed(error, "link failed", address=address)
         finally:
             await socket.close()
         return loop.time() - began >= STABLE_SECONDS
 
+    def _report(self, address: str, reason: str) -> None:
+        """Log why an entry is not used, once for each reason."""
+        if self._reason_by_address.get(address) != reason:
+            self._reason_by_address[address] = reason
+            _log.warning("entry refused or left the protocol", address=address, reason=reason)
+
     async def _serve(self, socket, expected_id: str) -> None:
         key = self._settings.keys[0]
         welcome = await _handshake.connect(socket, key, self._handler.hello())
@@ -162,7 +166,7 @@
         link = _entry_link.EntryLink(socket, entry_id, silence_limit, self._handler)
         self.by_id[entry_id] = link
         self._metrics.links(len(self.by_id))
-        self._log.info("link to entry {} is up", entry_id)
+        _log.state("link up", entry=entry_id)
         self._notify()
         try:
             await link.serve()
@@ -170,5 +174,5 @@
             del self.by_id[entry_id]
             self._roster_by_sender.pop(entry_id, None)
             self._metrics.links(len(self.by_id))
-            self._log.info("link to entry {} is down", entry_id)
+            _log.state("link down", entry=entry_id)
             self._reconcile()
--- a/src/daisyfall/process/_agent.py
+++ b/src/daisyfall/process/_agent.py
@@ -6,7 +6,6 @@
 from collections.abc import Coroutine
 
 import attrs
-import loguru
 
 from daisyfall import _clock, _ids, _wire
 from daisyfall.connection import _entry_link, _entry_links
@@ -15,6 +14,7 @@
     _announcement,
     _executor,
     _lifecycle,
+    _log,
     _metrics,
     _runner,
     _settings,
@@ -25,7 +25,8 @@
 DRAINING = "draining"
 NOT_LISTED = "not_listed"
 NO_RUNNER = "no_runner"
-REASON_RUNNER_LOST = "the runner does not announce itself"
+NO_LINK = "no_link"
+REASON_RUNNER_LOST = "runner_lost"
 REASON_STOP_LIMIT = "the agent stopped before the runner answered"
 
 WISH_STARTED = "started"
@@ -54,7 +55,6 @@
         self.settings = settings
         self.metrics = _metrics.Metrics()
         self.incarnation = _ids.new_incarnation()
-        self._log = loguru.logger.bind(agent=settings.id)
         self._is_listed = False
         self._is_stopping = False
         self._lists_version = 0
@@ -71,7 +71,7 @@
             settings.jobs.retention_ms / 1000,
             settings.jobs.answer_memory_mb * BYTES_PER_MB,
         )
-        self._lifecycle = _lifecycle.Lifecycle(settings.id, self._send_changed_status)
+        self._lifecycle = _lifecycle.Lifecycle(self._send_changed_status)
         self._links = _entry_links.EntryLinks(
             settings, self, self.metrics, source or random.Random()
         )
@@ -104,7 +104,7 @@
                 await self._executor.wait_idle()
                 await self._wait_delivered()
         except TimeoutError:
-            self._log.warning("drain limit reached, {} tasks still run", self._executor.running)
+            _log.warning("drain limit reached", running=self._executor.running)
             self._executor.stop_running(lambda _queued: True, REASON_STOP_LIMIT)
         await self._close()
 
@@ -169,9 +169,9 @@
         """See `_agent_api.Source`."""
         self._watch.renew(announcement)
 
-    def is_ready(self) -> bool:
+    def unready(self) -> str:
         """See `_agent_api.Source`."""
-        return self._lifecycle.state == _lifecycle.READY and bool(self._links.by_id)
+        return self._closed_reason() or ("" if self._links.by_id else NO_LINK)
 
     def status(self) -> dict:
         """See `_agent_api.Source`."""
@@ -191,10 +191,6 @@
             "ledger": self._ledger_sizes(),
         }
 
-    def refresh_metrics(self) -> None:
-        """See `_agent_api.Source`."""
-        self.metrics.agent(self._ledger_sizes(), self._executor.running, self._executor.queued)
-
     # State.
 
     def _on_roster(self, link: _entry_link.EntryLink, roster: _wire.Roster) -> None:
@@ -250,11 +246,11 @@
 
     def _use_announced(self, announcement: _announcement.Announcement | None) -> None:
         if announcement is None:
-            self._log.warning("runner {} does not announce itself any more", self._runner_id)
+            _log.warning("runner lost", runner=self._runner_id)
             self._use(None, _task_queue.NOTHING)
             self._executor.hand_back(REASON_RUNNER_LOST)
             return
-        self._log.info("runner {} at {}", announcement.id, announcement.url)
+        _log.state("runner announced", runner=announcement.id, url=announcement.url)
         self._runner_id = announcement.id
         self._runner_labels = announcement.labels
         capacity = _task_queue.Capacity(
@@ -285,6 +281,7 @@
             await asyncio.sleep(self.settings.lease.heartbeat_ms / 1000)
             self._links.broadcast(self._status())
             self._ledger.expire(_clock.monotonic())
+            self.metrics.agent(self._ledger_sizes(), *self.load())
 
     def _status(self) -> _wire.AgentStatus:
         return _wire.AgentStatus(
@@ -323,7 +320,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _wait_delivered(self) -> None:
-        while self._ledger.unsent_results:
+        while not self._executor.is_delivered():
             await asyncio.sleep(DELIVERY_POLL_SECONDS)
 
     async def _close(self) -> None:
@@ -332,7 +329,7 @@
             async with asyncio.timeout(CLOSE_LIMIT_SECONDS):
                 await self._links.close()
         except TimeoutError:
-            self._log.warning("links did not close within {} s", CLOSE_LIMIT_SECONDS)
+            _log.warning("links did not close in time", limit_seconds=CLOSE_LIMIT_SECONDS)
         if self._runner is not None:
             await self._runner.close()
         await self._api.close()
--- a/src/daisyfall/process/_agent_api.py
+++ b/src/daisyfall/process/_agent_api.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from daisyfall import errors
-from daisyfall.process import _announcement, _metrics, _settings
+from daisyfall.process import _announcement, _health_api, _metrics, _settings
 
 ANNOUNCEMENT_LIMIT_BYTES = 64 * 1024
 
@@ -19,15 +19,12 @@
     def announce(self, announcement: _announcement.Announcement) -> None:
         """Take a checked announcement."""
 
-    def is_ready(self) -> bool:
-        """Tell whether the agent takes work."""
+    def unready(self) -> str:
+        """Return the reason why the agent takes no work, empty if it does."""
 
     def status(self) -> dict:
         """Return the JSON of `/status`."""
 
-    def refresh_metrics(self) -> None:
-        """Bring the gauges up to date."""
-
 
 class AgentApi:
     """The routes and their listener."""
@@ -42,10 +39,8 @@
         """Listen; `port` is the bound one afterwards."""
         application = web.Application(client_max_size=ANNOUNCEMENT_LIMIT_BYTES)
         application.router.add_post("/v1/announce", self._announce)
-        application.router.add_get("/healthz", self._health)
-        application.router.add_get("/readyz", self._ready)
-        application.router.add_get("/status", self._status)
-        application.router.add_get("/metrics", self._metrics)
+        source = self._source
+        application.add_routes(_health_api.routes(source.metrics, source.unready, source.status))
         self._runner = web.AppRunner(application, access_log=None, shutdown_timeout=1.0)
         await self._runner.setup()
         site = web.TCPSite(self._runner, self._address.host, self._address.port)
@@ -66,24 +61,6 @@
             return web.json_response({"error": error.as_body()}, status=status)
         return web.json_response({})
 
-    async def _health(self, _request: web.Request) -> web.Response:
-        return web.Response(text="ok\n")
-
-    async def _ready(self, _request: web.Request) -> web.Response:
-        if self._source.is_ready():
-            return web.Response(text="ready\n")
-        return web.Response(text="not ready\n", status=503)
-
-    async def _status(self, _request: web.Request) -> web.Response:
-        return web.json_response(self._source.status())
-
-    async def _metrics(self, _request: web.Request) -> web.Response:
-        self._source.refresh_metrics()
-        return web.Response(
-            body=self._source.metrics.render(),
-            headers={"Content-Type": "text/plain; version=0.0.4; charset=utf-8"},
-        )
-
 
 async def _read_json(request: web.Request) -> object:
     try:
--- a/src/daisyfall/process/_executor.py
+++ b/src/daisyfall/process/_executor.py
@@ -3,16 +3,18 @@
 import asyncio
 from collections.abc import Callable
 
-import loguru
-
 from daisyfall import _clock, _wire
 from daisyfall.connection import _entry_link
-from daisyfall.process import _metrics, _runner
+from daisyfall.process import _log, _metrics, _runner
 from daisyfall.request import _ledger, _task_queue, _work
 
 REASON_CANCELLED = "cancelled"
 REASON_RECALLED = "recalled"
-REASON_TOO_LARGE = "the task needs more memory or accelerators than the worker has"
+REASON_TOO_LARGE = "too_large"
+# A result counts as recent while the loss of the link that took it may be unnoticed.
+RECENT_RESULT_SECONDS = 5.0
+# After a report, time for its entry to fetch results that it lacks.
+FETCH_SECONDS = 0.3
 
 _OUTCOME_NAMES = {
     _wire.DONE: "done",
@@ -45,6 +47,8 @@
         self._running: dict[tuple[_work.Key, int], tuple] = {}  # (queued task, asyncio task)
         self._idle = asyncio.Event()
         self._idle.set()
+        self._reconciled_at = 0.0
+        self._result_at_by_shard: dict[int, float] = {}
 
     @property
     def running(self) -> int:
@@ -69,23 +73,35 @@
         """Wait until nothing runs."""
         await self._idle.wait()
 
+    def is_delivered(self) -> bool:
+        """Tell whether the owner of each recent result has a link and had time to fetch."""
+        now = _clock.monotonic()
+        if self._ledger.unsent_results or now < self._reconciled_at + FETCH_SECONDS:
+            return False
+        recent = [
+            shard
+            for shard, at in self._result_at_by_shard.items()
+            if now < at + RECENT_RESULT_SECONDS
+        ]
+        return all(self._link_of(self._ledger.owner_of(shard)) for shard in recent)
+
     def on_start(self, link: _entry_link.EntryLink, start: _wire.Start) -> None:
         """Queue the tasks of a Start, or refuse it."""
         now = _clock.monotonic()
         answer = self._ledger.accept(start, link.entry_id, now, self._closed_reason())
         if answer.raised:
             self._drop_lower_epochs(start.shard)
+        self._send_items(link, answer.repeated)
         match answer:
-            case _ledger.Refused(reason=reason, seen_epoch=seen):
-                self._refuse(link, start, reason, seen)
-            case _ledger.Accepted(tasks=tasks, repeated=repeated):
-                for item in repeated:
-                    link.send(item)
+            case _ledger.Refused():
+                self._refuse(link, start, answer)
+            case _ledger.Accepted(tasks=tasks):
                 self._enqueue(_task_queue.from_start(start, tasks))
                 self._pump()
 
     def on_fence(self, link: _entry_link.EntryLink, fence: _wire.Fence) -> None:
-        """Raise epochs and report; a report at the same epoch comes after unsent results."""
+        """Raise epochs and report what the ledger holds of each shard."""
+        self._reconciled_at = _clock.monotonic()
         for shard, epoch in fence.epochs.items():
             seen = self._ledger.epoch_of(shard)
             if epoch < seen:
@@ -93,13 +109,12 @@
                 continue
             if self._ledger.fence(shard, epoch, link.entry_id):
                 self._drop_lower_epochs(shard)
-            else:
-                self._send_items(link, self._ledger.take_unsent(shard))
             for report in self._ledger.report(shard):
                 link.send(report)
 
     def on_fetch(self, link: _entry_link.EntryLink, fetch: _wire.FetchResults) -> None:
         """Send the finished results of a job again; an unknown job has none."""
+        self._reconciled_at = _clock.monotonic()
         items = self._ledger.results((fetch.buyer, fetch.job_id))
         self._send_items(link, items)
         if not items:
@@ -138,12 +153,17 @@
                 running.cancel()
         self._pump()
 
-    def _refuse(self, link, start: _wire.Start, reason: str, seen_epoch: int) -> None:
-        self._metrics.start_refused(reason)
-        indices = [item[0] for item in start.tasks if item]
+    def _refuse(self, link, start: _wire.Start, refused: _ledger.Refused) -> None:
+        self._metrics.start_refused(refused.reason)
         link.send(
             _wire.StartRefused(
-                start.shard, start.epoch, start.buyer, start.job_id, indices, reason, seen_epoch
+                shard=start.shard,
+                epoch=start.epoch,
+                buyer=start.buyer,
+                job_id=start.job_id,
+                indices=refused.indices,
+                reason=refused.reason,
+                seen_epoch=refused.seen_epoch,
             )
         )
 
@@ -166,7 +186,7 @@
         index = queued.task.index
         if not self._ledger.mark_started(queued.key, index, queued.epoch, now):
             self._queue.release(queued.task)
-            loguru.logger.error("queued task {} {} is not in the ledger", queued.key, index)
+            self._metrics.start_refused("not_in_ledger")
             return
         self._metrics.started(1)
         running = asyncio.create_task(self._run(self._runner, queued))
@@ -179,13 +199,13 @@
             outcome = await runner.run(queued)
         except Exception as error:
             # Whether the request was sent is unknown here.
-            loguru.logger.exception("runner adapter failed")
+            _log.failed(error, "the runner adapter failed")
             outcome = _runner.Lost(f"internal error: {type(error).__name__}")
-        self._settle(queued, outcome, round((_clock.monotonic() - began) * 1000))
+        self._settle(queued, outcome, round((_clock.monotonic() - began) * 1000, 1))
         self._pump()
 
     def _settle(
-        self, queued: _task_queue.QueuedTask, outcome: _runner.Outcome, run_ms: int
+        self, queued: _task_queue.QueuedTask, outcome: _runner.Outcome, run_ms: float
     ) -> None:
         index = queued.task.index
         running = self._running.get((queued.key, index))
@@ -201,7 +221,9 @@
         if code == _wire.NOT_STARTED:
             self._ledger.withdraw(queued.key, index)
         else:
-            self._ledger.finish(item, _clock.monotonic())
+            now = _clock.monotonic()
+            self._ledger.finish(item, now)
+            self._result_at_by_shard[queued.shard] = now
         self._deliver(queued.shard, item)
 
     def _deliver(self, shard: int, item: list) -> None:
--- a/src/daisyfall/process/_lifecycle.py
+++ b/src/daisyfall/process/_lifecycle.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable
 
-import loguru
 import transitions
 
+from daisyfall.process import _log
+
 STARTING = "starting"
 READY = "ready"
 DRAINING = "draining"
@@ -24,8 +25,7 @@
 
     state: str
 
-    def __init__(self, agent_id: str, on_change: Callable[[], None]):
-        self._log = loguru.logger.bind(agent=agent_id)
+    def __init__(self, on_change: Callable[[], None]):
         self._on_change = on_change
         self._machine = transitions.Machine(
             self,
@@ -49,5 +49,5 @@
             self.become_unready()
 
     def _report(self) -> None:
-        self._log.bind(state=self.state).info("agent is {}", self.state)
+        _log.state("agent changed state", state=self.state)
         self._on_change()
--- a/src/daisyfall/process/_runner.py
+++ b/src/daisyfall/process/_runner.py
@@ -16,6 +16,9 @@
 # Below the usual 5 s and 75 s of HTTP servers: a request that meets a connection just closed
 # by its server is cut off after it was sent, and counts as lost.
 KEEPALIVE_SECONDS = 2.0
+# Reasons of `NotStarted`; owners count retries by them, so they are few and fixed.
+REASON_NO_CONNECTION = "runner_unreachable"
+REASON_REFUSED = "runner_refused"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,8 +136,8 @@
                 self._url, json=_request(queued), allow_redirects=False
             ) as response:
                 return _judge(response.status, await _read(response))
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            return NotStarted(f"no connection to the runner: {error}")
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return NotStarted(REASON_NO_CONNECTION)
         except TimeoutError:
             return Lost("the runner did not answer within the time limit")
         except (aiohttp.ClientError, OSError) as error:
@@ -177,5 +180,5 @@
         case 422, {"error": error}:
             return Failed(str(error))
         case 503, {"started": False}:
-            return NotStarted(f"the runner refused: {answer.get('error', 'status 503')}")
+            return NotStarted(REASON_REFUSED)
     return Lost(f"status {status} from the runner, expected 200, 422 or 503 with started false")
--- a/src/daisyfall/request/_ledger.py
+++ b/src/daisyfall/request/_ledger.py
@@ -44,11 +44,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
-    """Nothing of the message is or will be started."""
+    """Nothing of the message is started; `indices` are those that the agent doesn't hold.
+
+    A task that was accepted before is no part of a refusal, since the owner would
+    take it as not started; `repeated` are result items of those that had finished.
+    """
 
     reason: str
     seen_epoch: int
-    raised: bool
+    indices: list
+    raised: bool = False
+    repeated: list = dataclasses.field(default_factory=list)
 
 
 @attrs.define(slots=True, eq=False)
@@ -117,21 +123,25 @@
 
     def accept(self, start: _wire.Start, sender: str, now: float, closed: str = "") -> object:
         """Decide on a Start; `closed` is the reason why the agent takes no work at present."""
+        seen_epoch = self.epoch_of(start.shard)
         if start.incarnation != self._incarnation:
-            return Refused(WRONG_INCARNATION, self.epoch_of(start.shard), False)
-        if start.epoch < self.epoch_of(start.shard):
-            return Refused(STALE_EPOCH, self.epoch_of(start.shard), False)
+            return Refused(WRONG_INCARNATION, seen_epoch, self._not_held(start))
+        if start.epoch < seen_epoch:
+            return Refused(STALE_EPOCH, seen_epoch, self._not_held(start))
         raised = self.fence(start.shard, start.epoch, sender)
-        reason = closed or self._conflict(start)
-        if reason:
-            return Refused(reason, start.epoch, raised)
+        conflict = self._conflict(start)
+        if conflict:
+            return Refused(conflict, start.epoch, _indices_in(start.tasks), raised)
+        if closed:
+            repeated = self._repeated(start)
+            return Refused(closed, start.epoch, self._not_held(start), raised, repeated)
         key = (sys.intern(start.buyer), start.job_id)
         job = self._job_by_key.get(key)
         if job is None:
             job = self._add(key, start, now)
-        tasks, repeated = self._split(key, job, start.tasks)
+        tasks = self._queue_new(job, start.tasks)
         self._touch(key, job, now)
-        return Accepted(tasks, repeated, raised)
+        return Accepted(tasks, self._repeated(start), raised)
 
     def mark_started(self, key: _work.Key, index: int, epoch: int, now: float) -> bool:
         """Record a start before it happens; False means that the task must not be started."""
@@ -188,21 +198,14 @@
         self._mark_sent(job)
         return [self._item(key, job, index) for index in _indices(job.finished)]
 
-    def take_unsent(self, shard: int) -> list[list]:
-        """Return the result items of a shard that no connection took; they count as sent."""
-        items = []
-        for key, job in self._by_shard[shard].items():
-            items += [self._item(key, job, index) for index in _indices(job.unsent)]
-            self._mark_sent(job)
-        return items
-
     def report(self, shard: int) -> list[_wire.FenceReport]:
         """Return the messages that report a shard; queued tasks of the epoch count as started."""
         rows = []
         for (buyer, job_id), job in self._by_shard[shard].items():
             self._mark_sent(job)
-            started = job.queued | job.started
-            rows.append([buyer, job_id, job.digest, job.task_count, started, job.finished])
+            started = _as_bytes(job.queued | job.started, job.task_count)
+            finished = _as_bytes(job.finished, job.task_count)
+            rows.append([buyer, job_id, job.digest, job.task_count, started, finished])
         epoch = self.epoch_of(shard)
         messages = []
         for first in range(0, max(len(rows), 1), REPORT_JOBS):
@@ -246,16 +249,27 @@
         self._by_shard[start.shard][key] = job
         return job
 
-    def _split(self, key: _work.Key, job: _Job, tasks: list) -> tuple[list, list]:
-        fresh, repeated = [], []
+    def _queue_new(self, job: _Job, tasks: list) -> list:
+        fresh = []
         for task in tasks:
             bit = 1 << task[0]
-            if job.finished & bit:
-                repeated.append(self._item(key, job, task[0]))
-            elif not (job.queued | job.started) & bit:
+            if not (job.queued | job.started) & bit:
                 job.queued |= bit
                 fresh.append(task)
-        return fresh, repeated
+        return fresh
+
+    def _not_held(self, start: _wire.Start) -> list[int]:
+        job = self._job_by_key.get((start.buyer, start.job_id))
+        held = 0 if job is None else job.queued | job.started
+        return [index for index in _indices_in(start.tasks) if not held >> index & 1]
+
+    def _repeated(self, start: _wire.Start) -> list[list]:
+        key = (start.buyer, start.job_id)
+        job = self._job_by_key.get(key)
+        if job is None or not job.finished:
+            return []
+        finished = [index for index in _indices_in(start.tasks) if job.finished >> index & 1]
+        return [self._item(key, job, index) for index in finished]
 
     def _item(self, key: _work.Key, job: _Job, index: int) -> list:
         found = job.result_by_index and job.result_by_index.get(index)
@@ -295,12 +309,22 @@
         del self._by_shard[job.shard][key]
 
 
+def _as_bytes(bitmap: int, task_count: int) -> bytes:
+    return bitmap.to_bytes((task_count + 7) // 8, "little")
+
+
 def _is_task_item(item: object, task_count: int) -> bool:
     if not isinstance(item, list) or len(item) < TASK_FIELDS:
         return False
     return isinstance(item[0], int) and 0 <= item[0] < task_count
 
 
+def _indices_in(tasks: list) -> list[int]:
+    """Return the indices of task items; items that have none are passed over."""
+    indices = [item[0] for item in tasks if isinstance(item, list) and item]
+    return [index for index in indices if isinstance(index, int) and index >= 0]
+
+
 def _indices(bitmap: int) -> list[int]:
     found = []
     while bitmap:
