Test the agent's faults over loopback: runner, links, draining, stop

Scenario tables cover each way a runner can end a request, a lost and a silent link, a takeover by another entry, drained and stopped agents and messages that can't be handled. Links no longer start new dialling tasks while they close.

--- a/features/agent_world.py
+++ b/features/agent_world.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import aiohttp
+import attrs
 import websockets.asyncio.server
 import websockets.exceptions
 from aiohttp import web
@@ -15,7 +17,7 @@
 # Bounds a wait for an event that must come; a passing test never waits this long.
 BOUND_SECONDS = 20.0
 BUYER = "roca"
-DIGEST = b"d" * 32
+SHARD = 3
 
 
 class FakeEntry:
@@ -26,22 +28,19 @@
         self.port = 0
         self.received: list = []
         self.hellos: list[_wire.Hello] = []
+        self.roster: dict[str, str] = {}
         self.socket = None
-        self.is_mute = False
+        self.is_refusing = False
         self._changed = asyncio.Condition()
         self._server = None
 
     async def start(self) -> None:
-        self._server = await websockets.asyncio.server.serve(
-            self._serve, "127.0.0.1", self.port, max_size=_wire.MAX_MESSAGE_BYTES
-        )
+        self._server = await websockets.asyncio.server.serve(self._serve, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
-        if self._server is not None:
-            self._server.close()
-            await self._server.wait_closed()
-            self._server = None
+        self._server.close()
+        await self._server.wait_closed()
 
     async def cut(self) -> None:
         self.socket.transport.abort()
@@ -50,38 +49,54 @@
     async def send(self, message: object) -> None:
         await self.socket.send(_wire.encode(message))
 
+    async def send_roster(self, wish: str = "started") -> None:
+        await self.send(_wire.Roster([list(each) for each in self.roster.items()], 1, wish))
+
     async def wait_for(self, condition, what: str) -> object:
         try:
             async with asyncio.timeout(BOUND_SECONDS), self._changed:
                 return await self._changed.wait_for(condition)
         except TimeoutError:
-            names = [type(message).__name__ for message in self.received]
-            raise AssertionError(f"entry {self.id} waited for {what}, received {names}") from None
+            text = "\n".join(str(message) for message in self.received)
+            raise AssertionError(f"entry {self.id} waited for {what}, received\n{text}") from None
 
     async def wait_message(self, kind: type, condition=lambda _message: True) -> object:
         def find():
-            found = [each for each in self.received if isinstance(each, kind) and condition(each)]
-            return found[0] if found else None
+            return next((each for each in self.all(kind) if condition(each)), None)
 
         return await self.wait_for(find, f"a {kind.__name__}")
 
+    async def wait_status(self, **expected) -> None:
+        """Wait until the last status has these fields."""
+
+        def holds():
+            statuses = self.all(_wire.AgentStatus)[-1:]
+            return any(expected.items() <= attrs.asdict(each).items() for each in statuses)
+
+        await self.wait_for(holds, f"a last status with {expected}")
+
+    def all(self, kind: type) -> list:
+        return [message for message in self.received if isinstance(message, kind)]
+
+    def forget(self, kind: type) -> None:
+        self.received = [message for message in self.received if not isinstance(message, kind)]
+
     def items(self, job_id: str) -> dict[int, list]:
-        results = [each for each in self.received if isinstance(each, _wire.Results)]
-        items = [item for result in results for item in result.items]
+        """Return the last result item by task index."""
+        items = [item for results in self.all(_wire.Results) for item in results.items]
         return {item[2]: item for item in items if item[1] == job_id}
 
-    async def wait_items(self, job_id: str, count: int) -> dict[int, list]:
-        await self.wait_for(lambda: len(self.items(job_id)) >= count, f"{count} results")
-        return self.items(job_id)
-
     async def _serve(self, socket) -> None:
+        if self.is_refusing:
+            socket.transport.abort()
+            return
         try:
             hello = await _handshake.accept(socket, [KEY], self.id, "fake")
             self.socket = socket
             await self._note(self.hellos, hello)
-            while not self.is_mute:
-                await self._note(self.received, _wire.decode(await socket.recv()))
-            await socket.wait_closed()
+            while True:
+                message = _wire.decode(await socket.recv())
+                await self._note(self.received, message)
         except (websockets.exceptions.ConnectionClosed, _handshake.HandshakeError):
             pass
         finally:
@@ -101,6 +116,7 @@
     def __init__(self):
         self.mode = "done"
         self.port = 0
+        self.asked: list[str] = []
         self.started: list[str] = []
         self.running = 0
         self.most_running = 0
@@ -117,9 +133,7 @@
         self.port = self._runner.addresses[0][1]
 
     async def stop(self) -> None:
-        if self._runner is not None:
-            await self._runner.cleanup()
-            self._runner = None
+        await self._runner.cleanup()
 
     def announcement(self, **changes) -> dict:
         body = {"id": "runner-1", "url": f"http://127.0.0.1:{self.port}", "slots": 8}
@@ -132,6 +146,7 @@
 
     async def _run(self, request: web.Request) -> web.Response:
         body = await request.json()
+        self.asked.append(body["task_id"])
         if self.mode == "refuse":
             return web.json_response({"started": False, "error": "busy"}, status=503)
         self.running += 1
@@ -150,6 +165,12 @@
                 return web.json_response({"error": "no such shade"}, status=422)
             case "cut":
                 request.transport.abort()
+            case "cut_body":
+                response = web.StreamResponse(headers={"Content-Length": "100"})
+                await response.prepare(request)
+                await response.write(b'{"result": ')
+                request.transport.abort()
+                return response
             case "crash":
                 return web.json_response({"started": True}, status=503)
             case "redirect":
@@ -157,7 +178,8 @@
             case "garbage":
                 return web.Response(text="not JSON")
             case "hold":
-                await self.gate.wait()
+                while not self.gate.is_set() and request.transport is not None:
+                    await asyncio.sleep(0.002)
         return web.json_response({"result": body["payload"]})
 
 
@@ -167,16 +189,13 @@
     def __init__(self):
         self.loop = asyncio.new_event_loop()
         self.entry_by_id: dict[str, FakeEntry] = {}
-        self.runner = self.loop.run_until_complete(self._new_runner())
+        self.runner = FakeRunner()
+        self.run(self.runner.start())
         self.agent: _agent.Agent | None = None
+        self.stopping: asyncio.Task | None = None
         self.job_by_name: dict[str, str] = {}
         self.epoch = 1
 
-    async def _new_runner(self) -> FakeRunner:
-        runner = FakeRunner()
-        await runner.start()
-        return runner
-
     def run(self, coroutine):
         return self.loop.run_until_complete(coroutine)
 
@@ -187,45 +206,65 @@
     async def _close(self) -> None:
         self.runner.gate.set()
         if self.agent is not None:
-            await self.agent.stop()
+            await self.stop_agent()
         for entry in self.entry_by_id.values():
             await entry.stop()
         await self.runner.stop()
 
+    async def stop_agent(self) -> None:
+        if self.stopping is None:
+            self.stopping = asyncio.create_task(self.agent.stop())
+        await asyncio.wait_for(self.stopping, BOUND_SECONDS)
+
     async def add_entry(self, entry_id: str) -> FakeEntry:
         entry = FakeEntry(entry_id)
         self.entry_by_id[entry_id] = entry
         await entry.start()
         return entry
 
-    async def start_agent(self, seeds: list[str], lease: dict, **runner) -> None:
-        self.agent = _agent.Agent(
-            _settings.Settings(
-                role="agent",
-                id="agent-1",
-                data_centre="quito",
-                http=_settings.Address(port=0),
-                entries=seeds,
-                keys=[KEY],
-                lease=_settings.LeaseSettings(**lease),
-                runner=_settings.RunnerSettings(**runner),
-            ),
-            random.Random(1),
+    def settings(self, entry: FakeEntry, lease: dict, **runner) -> _settings.Settings:
+        # No limit may pass by itself on a slow machine, unless a scenario sets it.
+        lease = {"heartbeat_limit_ms": 600_000} | lease
+        runner = {"announce_limit_ms": 600_000} | runner
+        return _settings.Settings(
+            role="agent",
+            id="agent-1",
+            data_centre="quito",
+            http=_settings.Address(port=0),
+            entries=[f"127.0.0.1:{entry.port}"],
+            keys=[KEY],
+            lease=_settings.LeaseSettings(**lease),
+            runner=_settings.RunnerSettings(**runner),
         )
+
+    async def start_agent(self, entry: FakeEntry, lease: dict, **runner) -> None:
+        self.agent = _agent.Agent(self.settings(entry, lease, **runner), random.Random(1))
         await self.agent.start()
+        await entry.wait_for(lambda: entry.socket is not None, "a link")
 
     async def list_agent(self, entry: FakeEntry) -> None:
-        """Wait for the link and tell the agent that the table lists it."""
-        await entry.wait_for(lambda: entry.socket is not None, "a link")
+        """Tell the agent that the table lists it."""
         await entry.send(_wire.Listed(self.agent.incarnation))
-        await entry.wait_message(_wire.AgentStatus, lambda status: status.listed)
+        await entry.wait_status(listed=True)
+
+    async def announce(self, body: object) -> tuple[int, dict]:
+        url = f"http://127.0.0.1:{self.agent.http_port}/v1/announce"
+        async with aiohttp.ClientSession() as session, session.post(url, json=body) as response:
+            return response.status, await response.json()
+
+    async def wait_until(self, condition, what: str) -> None:
+        """Wait for a condition that no message tells of."""
+        deadline = self.loop.time() + BOUND_SECONDS
+        while not condition():
+            assert self.loop.time() < deadline, f"waited for {what}"
+            await asyncio.sleep(0.002)
 
     def job(self, name: str) -> str:
         return self.job_by_name.setdefault(name, _ids.new_job_id())
 
     def start_message(self, name: str, indices: list[int], **changes) -> _wire.Start:
         tasks = [[index, "mix", {"index": index}, 50, 0, 0] for index in indices]
-        fields = {"shard": 3, "epoch": self.epoch, "incarnation": self.agent.incarnation}
-        fields |= {"buyer": BUYER, "job_id": self.job(name), "digest": DIGEST}
+        fields = {"shard": SHARD, "epoch": self.epoch, "incarnation": self.agent.incarnation}
+        fields |= {"buyer": BUYER, "job_id": self.job(name), "digest": b"d" * 32}
         fields |= {"task_count": 20, "tasks": tasks}
         return _wire.Start(**(fields | changes))
--- /dev/null
+++ b/features/steps/agent_link_steps.py
@@ -0,0 +1,232 @@
+"""Steps on the links of an agent, on fences, and on draining and stopping."""
+
+import asyncio
+import os
+import signal
+
+import agent_tasks_steps as tasks
+import agent_world
+import attrs
+from behave import given, step, then, when
+
+from daisyfall import _wire
+from daisyfall.process import _agent
+
+
+@given('an agent link to another entry "{entry_id}"')
+@when('agent entry "{entry_id}" joins the roster of "a"')
+def add_entry(context, entry_id):
+    async def join(world):
+        first = world.entry_by_id["a"]
+        entry = await world.add_entry(entry_id)
+        first.roster = {each.id: f"ws://127.0.0.1:{each.port}" for each in (first, entry)}
+        await first.send_roster()
+        await entry.wait_status(listed=True)
+
+    context.world.run(join(context.world))
+
+
+@when('the roster of "a" names entry "{entry_id}" at the address of "a"')
+def name_wrong_entry(context, entry_id):
+    entry = tasks.entry_of(context, "a")
+    entry.roster = {entry_id: f"127.0.0.1:{entry.port}"}
+    context.world.run(entry.send_roster())
+
+
+@given("an agent with a heartbeat limit of {limit:d} ms")
+def start_with_limit(context, limit):
+    lease = {"heartbeat_limit_ms": limit}
+    context.world.run(tasks.prepare(context.world, "a", listed=False, lease=lease))
+
+
+@given("an agent with a heartbeat of {interval:d} ms")
+def start_with_heartbeat(context, interval):
+    lease = {"heartbeat_ms": interval}
+    context.world.run(tasks.prepare(context.world, "a", listed=False, lease=lease))
+
+
+@given("an agent with an announcement limit of {limit:d} ms")
+def start_with_announcement_limit(context, limit):
+    runner = {"announce_limit_ms": limit}
+    context.world.run(tasks.prepare(context.world, "a", listed=False, **runner))
+
+
+@step('agent entry "{entry_id}" fences the shard at epoch {epoch:d}')
+def send_fence(context, entry_id, epoch):
+    entry = tasks.entry_of(context, entry_id)
+    entry.forget(_wire.FenceReport)
+    context.world.run(entry.send(_wire.Fence({agent_world.SHARD: epoch})))
+
+
+@step('agent entry "{entry_id}" fetches the results of job "{job}"')
+def send_fetch(context, entry_id, job):
+    message = _wire.FetchResults(agent_world.BUYER, context.world.job(job))
+    context.world.run(tasks.entry_of(context, entry_id).send(message))
+
+
+@when('agent entry "{entry_id}" wishes {wish}')
+def send_wish(context, entry_id, wish):
+    context.world.run(tasks.entry_of(context, entry_id).send_roster(wish))
+
+
+@when('agent entry "{entry_id}" sends {case}')
+def send_wrong(context, entry_id, case):
+    world, entry = context.world, tasks.entry_of(context, entry_id)
+    frames = {
+        "bytes that are no message": b"\xff\x00",
+        "a message for an entry": _wire.encode(_wire.Cancelled([])),
+        "a start with a wrong field": _wire.encode(world.start_message("j", [], tasks=7)),
+    }
+    world.run(entry.socket.send(frames[case]))
+
+
+@when('the link of agent entry "{entry_id}" is lost')
+def cut_link(context, entry_id):
+    context.world.run(tasks.entry_of(context, entry_id).cut())
+
+
+@when('the link of agent entry "{entry_id}" is lost and refused')
+def cut_and_refuse(context, entry_id):
+    world = context.world
+    entry = tasks.entry_of(context, entry_id)
+    entry.is_refusing = True
+    world.run(entry.cut())
+    world.run(world.wait_until(lambda: not world.agent.status()["links"], "the lost link"))
+
+
+@when('agent entry "{entry_id}" is back')
+def let_back(context, entry_id):
+    entry = tasks.entry_of(context, entry_id)
+    entry.is_refusing = False
+    context.world.run(entry.wait_for(lambda: entry.socket is not None, "a link"))
+
+
+@when("the agent has finished its tasks")
+def wait_idle(context):
+    world = context.world
+
+    def is_idle():
+        status = world.agent.status()
+        return status["running"] == status["queued"] == 0
+
+    world.run(world.wait_until(is_idle, "an idle agent"))
+
+
+@when("the agent is told to stop")
+def begin_stop(context):
+    world = context.world
+    world.stopping = world.loop.create_task(world.agent.stop())
+    world.run(asyncio.sleep(0))
+
+
+@given("the agent has a drain limit of {limit:d} ms")
+def set_drain_limit(context, limit):
+    agent = context.world.agent
+    runner = attrs.evolve(agent.settings.runner, drain_limit_ms=limit)
+    agent.settings = attrs.evolve(agent.settings, runner=runner)
+
+
+@then("the agent has not stopped")
+def check_running(context):
+    assert not context.world.stopping.done()
+
+
+@then("the agent stops")
+def check_stopped(context):
+    context.world.run(context.world.stop_agent())
+    assert context.world.agent.status()["state"] == "stopped"
+
+
+@then("an agent process that gets SIGTERM ends")
+def check_signal(context):
+    world = context.world
+    entry = tasks.entry_of(context, "a")
+
+    async def run_and_end():
+        process = asyncio.create_task(_agent.run(world.settings(entry, {})))
+        await entry.wait_for(lambda: entry.socket is not None, "a link")
+        os.kill(os.getpid(), signal.SIGTERM)
+        await asyncio.wait_for(process, agent_world.BOUND_SECONDS)
+
+    world.run(run_and_end())
+    world.run(entry.wait_status(draining=True))
+
+
+@then(
+    'agent entry "{entry_id}" receives a report at epoch {epoch:d} '
+    'with started {started} and finished {finished} of job "{job}"'
+)
+def check_report(context, entry_id, epoch, started, *, finished, job):
+    entry = tasks.entry_of(context, entry_id)
+    report = context.world.run(entry.wait_message(_wire.FenceReport))
+    rows = {row[1]: row for row in report.jobs}
+    bitmaps = rows.get(context.world.job(job), [b""] * 6)[4:6]
+    found = [int.from_bytes(each, "little") for each in bitmaps]
+    expected = [sum(1 << i for i in tasks.numbers(each)) for each in (started, finished)]
+    assert (report.epoch, found) == (epoch, expected), report
+
+
+@then('agent entry "{entry_id}" has received no result of job "{job}"')
+def check_no_result(context, entry_id, job):
+    items = tasks.entry_of(context, entry_id).items(context.world.job(job))
+    assert not items, items
+
+
+@then('agent entry "{entry_id}" receives an empty answer')
+def check_empty_answer(context, entry_id):
+    entry = tasks.entry_of(context, entry_id)
+    context.world.run(entry.wait_message(_wire.Results, lambda message: not message.items))
+
+
+@then('agent entry "{entry_id}" has received {count:d} hellos')
+def check_hellos(context, entry_id, count):
+    entry = tasks.entry_of(context, entry_id)
+    context.world.run(entry.wait_for(lambda: len(entry.hellos) >= count, f"{count} hellos"))
+
+
+@then('agent entry "{entry_id}" has received {count:d} statuses')
+def check_statuses(context, entry_id, count):
+    entry = tasks.entry_of(context, entry_id)
+    arrived = lambda: len(entry.all(_wire.AgentStatus)) > count  # noqa: E731
+    context.world.run(entry.wait_for(arrived, f"{count} statuses after the first"))
+
+
+@then('agent entry "{entry_id}" sees the slots of the runner go from {first:d} to {last:d}')
+def check_slots(context, entry_id, first, last):
+    entry = tasks.entry_of(context, entry_id)
+
+    def went():
+        slots = [status.slots for status in entry.all(_wire.AgentStatus)]
+        return first in slots and slots[-1] == last
+
+    context.world.run(entry.wait_for(went, f"{first} slots, then {last}"))
+
+
+@then('the agent has links to "{entry_ids}"')
+def check_links(context, entry_ids):
+    world = context.world
+    expected = entry_ids.split(",")
+    world.run(world.wait_until(lambda: world.agent.status()["links"] == expected, entry_ids))
+
+
+@then("the agent gives up {count:d} link because of its protocol")
+def check_failures(context, count):
+    world = context.world
+    registry = world.agent.metrics.registry
+
+    def has_failed():
+        name, labels = "daisyfall_link_failures_total", {"step": "protocol"}
+        return (registry.get_sample_value(name, labels) or 0) >= count
+
+    world.run(world.wait_until(has_failed, "a refused link"))
+
+
+@then(
+    'agent entry "{entry_id}" receives {count:d} results of job "{job}" '
+    "in fewer than {most:d} messages"
+)
+def check_batches(context, entry_id, count, job, most):
+    entry, job_id = tasks.entry_of(context, entry_id), context.world.job(job)
+    arrived = lambda: len(entry.items(job_id)) == count  # noqa: E731
+    context.world.run(entry.wait_for(arrived, f"{count} results"))
+    assert len(entry.all(_wire.Results)) < most
--- a/features/steps/agent_tasks_steps.py
+++ b/features/steps/agent_tasks_steps.py
@@ -1,20 +1,30 @@
-"""Steps on an agent between fake entries and a fake runner."""
+"""Steps on an agent between fake entries and a fake runner: set-up, starts, outcomes."""
+
+import ast
 
 import agent_world
-import aiohttp
-from behave import given, step, then
+from behave import given, step, then, when
 
 from daisyfall import _wire
 
 
-def numbers(text: str) -> list[int]:
-    return [int(each) for each in text.split(",") if each]
+def numbers(text):
+    return [] if text == "none" else [int(each) for each in text.split(",")]
 
 
-async def announce(world: agent_world.World, body: object) -> tuple[int, dict]:
-    url = f"http://127.0.0.1:{world.agent.http_port}/v1/announce"
-    async with aiohttp.ClientSession() as session, session.post(url, json=body) as response:
-        return response.status, await response.json()
+def entry_of(context, entry_id):
+    return context.world.entry_by_id[entry_id]
+
+
+async def prepare(world, entry_id, *, listed=True, slots=8, lease=None, **runner):
+    entry = world.entry_by_id[entry_id]
+    await world.start_agent(entry, lease or {}, **runner)
+    if runner.get("kind") != "null":
+        status, body = await world.announce(world.runner.announcement(slots=slots))
+        assert status == 200, body
+    if listed:
+        await world.list_agent(entry)
+        await entry.wait_status(ready=True)
 
 
 @given('an agent world with entry "{entry_id}"')
@@ -26,60 +36,159 @@
 
 @given('an agent with an announced runner, listed by "{entry_id}"')
 def start_agent(context, entry_id):
-    start_agent_with(context, entry_id)
+    context.world.run(prepare(context.world, entry_id))
 
 
-def start_agent_with(context, entry_id, **announcement):
-    async def prepare(world):
-        entry = world.entry_by_id[entry_id]
-        # Longer than a scenario, so that one announcement is enough.
-        await world.start_agent([f"127.0.0.1:{entry.port}"], {}, announce_limit_ms=60_000)
-        status, body = await announce(world, world.runner.announcement(**announcement))
-        assert status == 200, body
-        await world.list_agent(entry)
-        await entry.wait_message(_wire.AgentStatus, lambda status: status.ready)
+@given('an agent with the null runner, listed by "{entry_id}"')
+def start_null_agent(context, entry_id):
+    context.world.run(prepare(context.world, entry_id, kind="null"))
+
+
+@given('an agent with a runner of {slots:d} slots that holds its tasks, listed by "{entry_id}"')
+def start_holding_agent(context, slots, entry_id):
+    context.world.runner.mode = "hold"
+    context.world.run(prepare(context.world, entry_id, slots=slots))
 
-    context.world.run(prepare(context.world))
+
+@given('an agent with a runner of {slots:d} slots that "{entry_id}" does not list')
+def start_unlisted_agent(context, slots, entry_id):
+    context.world.run(prepare(context.world, entry_id, slots=slots, listed=False))
 
 
 @step('agent entry "{entry_id}" starts tasks {indices} of job "{job}"')
 def send_start(context, entry_id, indices, job):
-    world = context.world
-    message = world.start_message(job, numbers(indices))
-    world.run(world.entry_by_id[entry_id].send(message))
+    message = context.world.start_message(job, numbers(indices))
+    context.world.run(entry_of(context, entry_id).send(message))
 
 
-@step('agent entry "{entry_id}" fences the shard at epoch {epoch:d}')
-def send_fence(context, entry_id, epoch):
-    world = context.world
-    world.epoch = epoch
-    world.run(world.entry_by_id[entry_id].send(_wire.Fence({3: epoch})))
+@step('agent entry "{entry_id}" starts tasks {indices} of job "{job}" at epoch {epoch:d}')
+def send_start_at(context, entry_id, indices, job, epoch):
+    message = context.world.start_message(job, numbers(indices), epoch=epoch)
+    context.world.run(entry_of(context, entry_id).send(message))
+
+
+@step('agent entry "{entry_id}" starts a task of job "{job}" that needs {memory:d} MB')
+def send_large_start(context, entry_id, job, memory):
+    tasks = [[0, "mix", None, 50, memory, 0]]
+    message = context.world.start_message(job, [], tasks=tasks)
+    context.world.run(entry_of(context, entry_id).send(message))
+
+
+@step('agent entry "{entry_id}" starts a task of job "{job}" for incarnation "{incarnation}"')
+def send_start_for(context, entry_id, job, incarnation):
+    message = context.world.start_message(job, [0], incarnation=incarnation)
+    context.world.run(entry_of(context, entry_id).send(message))
+
+
+@when("the agent runner is set to {mode}")
+def set_mode(context, mode):
+    context.world.runner.mode = mode
+    if mode == "absent":
+        context.world.run(context.world.runner.stop())
+
+
+@when("the agent runner has started {count:d} tasks")
+def wait_started(context, count):
+    context.world.run(context.world.runner.wait_started(count))
+
+
+@when("the agent runner lets its tasks end")
+def open_gate(context):
+    context.world.runner.gate.set()
+
+
+@when("the agent runner stops to announce itself")
+def stop_announcing(context):
+    # The timer has a scenario of its own; a short limit here would race with slow steps.
+    async def expire():
+        context.world.agent.runner_watch.expire()
+
+    context.world.run(expire())
+
+
+@when("the agent runner announces itself with {field} = {value}")
+def announce_wrong(context, field, value):
+    body = context.world.runner.announcement(**{field: ast.literal_eval(value)})
+    context.answer = context.world.run(context.world.announce(body))
+
+
+@step('agent entry "{entry_id}" cancels job "{job}" and {rest} running tasks')
+@step('agent entry "{entry_id}" cancels job "{job}" and lets running tasks end')
+def send_cancel(context, entry_id, job, rest="lets"):
+    message = _wire.Cancel([[agent_world.BUYER, context.world.job(job)]], rest == "stops")
+    context.world.run(entry_of(context, entry_id).send(message))
+
+
+@when('agent entry "{entry_id}" recalls')
+def send_recall(context, entry_id):
+    context.world.run(entry_of(context, entry_id).send(_wire.Recall("bad health")))
 
 
 @step('agent entry "{entry_id}" receives outcome {outcome} for tasks {indices} of job "{job}"')
 def check_outcomes(context, entry_id, outcome, indices, job):
-    world = context.world
-    expected = numbers(indices)
-    entry = world.entry_by_id[entry_id]
-    items = world.run(entry.wait_items(world.job(job), len(expected)))
-    outcomes = {index: items[index][3] for index in sorted(items)}
-    assert outcomes == {index: getattr(_wire, outcome) for index in expected}, items
+    code, expected = getattr(_wire, outcome), numbers(indices)
+    entry, job_id = entry_of(context, entry_id), context.world.job(job)
 
+    def arrived():
+        items = entry.items(job_id)
+        return all(index in items and items[index][3] == code for index in expected)
 
-@then("the agent runner started {count:d} tasks")
-def check_started(context, count):
-    started = context.world.runner.started
-    assert len(started) == count == len(set(started)), started
+    context.world.run(entry.wait_for(arrived, f"{outcome} for tasks {indices}"))
 
 
-@step(
-    'agent entry "{entry_id}" receives a report at epoch {epoch:d} '
-    'with tasks {indices} of job "{job}" started'
+@then(
+    'agent entry "{entry_id}" receives outcome {outcome} for tasks {indices} of job "{job}" '
+    "with value {value}"
 )
-def check_report(context, entry_id, epoch, indices, job):
+def check_values(context, entry_id, outcome, indices, *, job, value):
+    check_outcomes(context, entry_id, outcome, indices, job)
+    items = entry_of(context, entry_id).items(context.world.job(job))
+    values = [str(items[index][4]) for index in numbers(indices)]
+    assert all(value in each for each in values), f"expected {value}, found {values}"
+
+
+@then('agent entry "{entry_id}" learns that tasks {indices} of job "{job}" were cancelled')
+def check_cancelled(context, entry_id, indices, job):
+    entry = entry_of(context, entry_id)
+    message = context.world.run(entry.wait_message(_wire.Cancelled))
+    expected = [[agent_world.BUYER, context.world.job(job), numbers(indices)]]
+    assert message.jobs == expected, message
+    assert len(entry.all(_wire.Cancelled)) == 1
+
+
+@then('agent entry "{entry_id}" receives a refusal of tasks {indices} because of {reason}')
+def check_refusal(context, entry_id, indices, reason):
+    def matches(message):
+        return (message.indices, message.reason) == (numbers(indices), reason)
+
+    entry = entry_of(context, entry_id)
+    context.world.run(entry.wait_message(_wire.StartRefused, matches))
+
+
+@step('agent entry "{entry_id}" receives a status with {field} = {value}')
+def check_status(context, entry_id, field, value):
+    expected = {field: ast.literal_eval(value)}
+    context.world.run(entry_of(context, entry_id).wait_status(**expected))
+
+
+@then("the agent runner was asked {count:d} times")
+def check_asked(context, count):
+    asked = context.world.runner.asked
+    assert len(asked) == count, f"expected {count} requests, found {asked}"
+
+
+@then("the agent runner never ran more than {count:d} tasks at once")
+def check_most_running(context, count):
+    assert context.world.runner.most_running == count
+
+
+@then("the agent runner sees the requests closed")
+def check_requests_closed(context):
     world = context.world
-    entry = world.entry_by_id[entry_id]
-    report = world.run(entry.wait_message(_wire.FenceReport, lambda report: report.epoch == epoch))
-    started = {row[1]: int.from_bytes(row[4], "little") for row in report.jobs}
-    expected = sum(1 << index for index in numbers(indices))
-    assert started.get(world.job(job), 0) == expected, report
+    world.run(world.wait_until(lambda: world.runner.running == 0, "closed requests"))
+
+
+@then('the agent answers the announcement with status {status:d} and field "{field}"')
+def check_announcement(context, status, field):
+    found, body = context.answer
+    assert (found, body["error"]["field"]) == (status, field), context.answer
--- a/src/daisyfall/connection/_entry_links.py
+++ b/src/daisyfall/connection/_entry_links.py
@@ -45,6 +45,7 @@
         self._task_by_id: dict[str, asyncio.Task] = {}
         self._seed_task: asyncio.Task | None = None
         self._changed = asyncio.Event()
+        self._is_closing = False
         self._reason_by_address: dict[str, str] = {}
 
     def start(self) -> None:
@@ -53,6 +54,7 @@
 
     async def close(self) -> None:
         """Write what is queued, close all links and stop dialling."""
+        self._is_closing = True
         await asyncio.gather(*[link.flush() for link in self.by_id.values()])
         # Each task ends with a closing handshake, so the entry has read all that was written.
         tasks = [task for task in [self._seed_task, *self._task_by_id.values()] if task]
@@ -74,6 +76,8 @@
         self._reconcile()
 
     def _reconcile(self) -> None:
+        if self._is_closing:
+            return
         # Without any link the last known roster stays in use.
         if self._roster_by_sender:
             self._url_by_id = {}
--- a/src/daisyfall/process/_agent.py
+++ b/src/daisyfall/process/_agent.py
@@ -79,7 +79,7 @@
             self._ledger, self.metrics, self._links.by_id.get, self._closed_reason
         )
         limit_seconds = settings.runner.announce_limit_ms / 1000
-        self._watch = _announcement.Watch(limit_seconds, self._use_announced)
+        self.runner_watch = _announcement.Watch(limit_seconds, self._use_announced)
         self._api = _agent_api.AgentApi(self, settings.http)
 
     @property
@@ -167,7 +167,7 @@
 
     def announce(self, announcement: _announcement.Announcement) -> None:
         """See `_agent_api.Source`."""
-        self._watch.renew(announcement)
+        self.runner_watch.renew(announcement)
 
     def unready(self) -> str:
         """See `_agent_api.Source`."""
@@ -324,7 +324,7 @@
             await asyncio.sleep(DELIVERY_POLL_SECONDS)
 
     async def _close(self) -> None:
-        self._watch.close()
+        self.runner_watch.close()
         try:
             async with asyncio.timeout(CLOSE_LIMIT_SECONDS):
                 await self._links.close()
@@ -333,5 +333,7 @@
         if self._runner is not None:
             await self._runner.close()
         await self._api.close()
-        for task in list(self._tasks):
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/daisyfall/process/_announcement.py
+++ b/src/daisyfall/process/_announcement.py
@@ -58,7 +58,7 @@
             raise _wrong("id", announcement.id, f"the id of the present runner, {current.id}")
         self.close()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(self._limit_seconds, self._expire)
+        self._timer = loop.call_later(self._limit_seconds, self.expire)
         self.current = announcement
         if announcement != current:
             self._on_change(announcement)
@@ -69,7 +69,8 @@
             self._timer.cancel()
             self._timer = None
 
-    def _expire(self) -> None:
+    def expire(self) -> None:
+        """Count the runner as lost."""
         self.current = None
         self._on_change(None)
 
