--- a/features/agent_tasks.feature
+++ b/features/agent_tasks.feature
@@ -100,6 +100,14 @@
     When the agent runner lets its tasks end
     Then agent entry "a" receives outcome DONE for tasks 0 of job "j"
 
+  Scenario: a runner that accepts no connection gets no work until it announces itself
+    Given an agent with an announced runner, listed by "a"
+    When the agent runner is set to absent
+    And agent entry "a" starts tasks 0 of job "j"
+    Then agent entry "a" receives a status with ready = False
+    When the agent runner announces itself with slots = 4
+    Then agent entry "a" receives a status with ready = True
+
   Scenario: a runner counts as lost when it does not announce itself in time
     Given an agent with an announcement limit of 100 ms
     Then agent entry "a" sees the slots of the runner go from 8 to 0
--- a/src/daisyfall/process/_agent.py
+++ b/src/daisyfall/process/_agent.py
@@ -75,11 +75,17 @@
         self._links = _entry_links.EntryLinks(
             settings, self, self.metrics, source or random.Random()
         )
-        self._executor = _executor.Executor(
-            self._ledger, self.metrics, self._links.by_id.get, self._closed_reason
-        )
         limit_seconds = settings.runner.announce_limit_ms / 1000
         self.runner_watch = _announcement.Watch(limit_seconds, self._use_announced)
+        # Until its next announcement a runner that accepts no connection would only bounce tasks,
+        # and each of these takes from the owners' retry budgets.
+        self._executor = _executor.Executor(
+            self._ledger,
+            self.metrics,
+            self._links.by_id.get,
+            self._closed_reason,
+            self.runner_watch.expire,
+        )
         self._api = _agent_api.AgentApi(self, settings.http)
 
     @property
--- a/src/daisyfall/process/_announcement.py
+++ b/src/daisyfall/process/_announcement.py
@@ -70,7 +70,8 @@
             self._timer = None
 
     def expire(self) -> None:
-        """Count the runner as lost."""
+        """Count the runner as lost until it announces itself again."""
+        self.close()
         self.current = None
         self._on_change(None)
 
--- a/src/daisyfall/process/_executor.py
+++ b/src/daisyfall/process/_executor.py
@@ -16,6 +16,7 @@
 # After a report, time for its entry to fetch results that it lacks.
 FETCH_SECONDS = 0.3
 
+_UNREACHABLE = _runner.NotStarted(_runner.REASON_NO_CONNECTION)
 _OUTCOME_NAMES = {
     _wire.DONE: "done",
     _wire.FAILED: "failed",
@@ -28,7 +29,8 @@
     """Starts tasks and delivers their results.
 
     `link_of` returns the live link to an entry by its id, and `closed_reason` why
-    no work is taken at present (empty if it is).
+    no work is taken at present (empty if it is). `on_unreachable` is called when
+    the runner accepts no connection.
     """
 
     def __init__(
@@ -37,11 +39,13 @@
         metrics: _metrics.Metrics,
         link_of: Callable[[str], _entry_link.EntryLink | None],
         closed_reason: Callable[[], str],
+        on_unreachable: Callable[[], None],
     ):
         self._ledger = ledger
         self._metrics = metrics
         self._link_of = link_of
         self._closed_reason = closed_reason
+        self._on_unreachable = on_unreachable
         self._queue = _task_queue.TaskQueue()
         self._runner: _runner.Runner | None = None
         self._running: dict[tuple[_work.Key, int], tuple] = {}  # (queued task, asyncio task)
@@ -202,6 +206,8 @@
             _log.failed(error, "the runner adapter failed")
             outcome = _runner.Lost(f"internal error: {type(error).__name__}")
         self._settle(queued, outcome, round((_clock.monotonic() - began) * 1000, 1))
+        if outcome == _UNREACHABLE and runner is self._runner:
+            self._on_unreachable()
         self._pump()
 
     def _settle(
