--- a/features/steps/agent_ledger_steps.py
+++ b/features/steps/agent_ledger_steps.py
@@ -28,9 +28,8 @@
     """Return the started and finished indices of the job, and the epoch."""
     report = ledger.report(SHARD)[-1]
     rows = {row[1]: row for row in report.jobs}
-    bitmaps = rows[KEY[1]][4:6] if KEY[1] in rows else [b"", b""]
-    started, finished = (int.from_bytes(each, "little") for each in bitmaps)
-    return [[i for i in range(8) if bits >> i & 1] for bits in (started, finished)], report.epoch
+    bitmaps = rows[KEY[1]][4:6] if KEY[1] in rows else [0, 0]
+    return [[i for i in range(8) if bits >> i & 1] for bits in bitmaps], report.epoch
 
 
 @given("an agent ledger with a retention time of {seconds:d} s and {limit:d} bytes for results")
--- a/features/steps/agent_link_steps.py
+++ b/features/steps/agent_link_steps.py
@@ -160,8 +160,7 @@
     entry = tasks.entry_of(context, entry_id)
     report = context.world.run(entry.wait_message(_wire.FenceReport))
     rows = {row[1]: row for row in report.jobs}
-    bitmaps = rows.get(context.world.job(job), [b""] * 6)[4:6]
-    found = [int.from_bytes(each, "little") for each in bitmaps]
+    found = rows.get(context.world.job(job), [0] * 6)[4:6]
     expected = [sum(1 << i for i in tasks.numbers(each)) for each in (started, finished)]
     assert (report.epoch, found) == (epoch, expected), report
 
--- a/src/daisyfall/connection/_entry_links.py
+++ b/src/daisyfall/connection/_entry_links.py
@@ -3,12 +3,13 @@
 import asyncio
 import random
 
+import loguru
 import websockets.asyncio.client
 import websockets.exceptions
 
 from daisyfall import _wire
 from daisyfall.connection import _entry_link, _handshake
-from daisyfall.process import _log, _metrics, _settings
+from daisyfall.process import _metrics, _settings
 
 BACKOFF_FIRST_SECONDS = 0.05
 BACKOFF_LIMIT_SECONDS = 1.0
@@ -147,7 +148,7 @@
         except Exception as error:
             # A message that can't be handled ends its link only, not the dialling task.
             self._metrics.link_failed("internal")
-            _log.failed(error, "link failed", address=address)
+            loguru.logger.bind(address=address).opt(exception=error).error("link failed")
         finally:
             await socket.close()
         return loop.time() - began >= STABLE_SECONDS
@@ -156,7 +157,9 @@
         """Log why an entry is not used, once for each reason."""
         if self._reason_by_address.get(address) != reason:
             self._reason_by_address[address] = reason
-            _log.warning("entry refused or left the protocol", address=address, reason=reason)
+            loguru.logger.bind(address=address, reason=reason).warning(
+                "entry refused or left the protocol"
+            )
 
     async def _serve(self, socket, expected_id: str) -> None:
         key = self._settings.keys[0]
@@ -170,7 +173,7 @@
         link = _entry_link.EntryLink(socket, entry_id, silence_limit, self._handler)
         self.by_id[entry_id] = link
         self._metrics.links(len(self.by_id))
-        _log.state("link up", entry=entry_id)
+        loguru.logger.bind(entry=entry_id).info("link up")
         self._notify()
         try:
             await link.serve()
@@ -178,5 +181,5 @@
             del self.by_id[entry_id]
             self._roster_by_sender.pop(entry_id, None)
             self._metrics.links(len(self.by_id))
-            _log.state("link down", entry=entry_id)
+            loguru.logger.bind(entry=entry_id).info("link down")
             self._reconcile()
--- a/src/daisyfall/process/_agent.py
+++ b/src/daisyfall/process/_agent.py
@@ -6,6 +6,7 @@
 from collections.abc import Coroutine
 
 import attrs
+import loguru
 
 from daisyfall import _clock, _ids, _wire
 from daisyfall.connection import _entry_link, _entry_links
@@ -14,7 +15,6 @@
     _announcement,
     _executor,
     _lifecycle,
-    _log,
     _metrics,
     _runner,
     _settings,
@@ -110,7 +110,7 @@
                 await self._executor.wait_idle()
                 await self._wait_delivered()
         except TimeoutError:
-            _log.warning("drain limit reached", running=self._executor.running)
+            loguru.logger.bind(running=self._executor.running).warning("drain limit reached")
             self._executor.stop_running(lambda _queued: True, REASON_STOP_LIMIT)
         await self._close()
 
@@ -252,11 +252,11 @@
 
     def _use_announced(self, announcement: _announcement.Announcement | None) -> None:
         if announcement is None:
-            _log.warning("runner lost", runner=self._runner_id)
+            loguru.logger.bind(runner=self._runner_id).warning("runner lost")
             self._use(None, _task_queue.NOTHING)
             self._executor.hand_back(REASON_RUNNER_LOST)
             return
-        _log.state("runner announced", runner=announcement.id, url=announcement.url)
+        loguru.logger.bind(runner=announcement.id, url=announcement.url).info("runner announced")
         self._runner_id = announcement.id
         self._runner_labels = announcement.labels
         capacity = _task_queue.Capacity(
@@ -287,7 +287,12 @@
             await asyncio.sleep(self.settings.lease.heartbeat_ms / 1000)
             self._links.broadcast(self._status())
             self._ledger.expire(_clock.monotonic())
-            self.metrics.agent(self._ledger_sizes(), *self.load())
+            self._refresh_metrics()
+
+    def _refresh_metrics(self) -> None:
+        self.metrics.agent(self._ledger_sizes(), *self.load())
+        self.metrics.epochs(self._ledger.epoch_count)
+        self.metrics.list_version(self._lists_version)
 
     def _status(self) -> _wire.AgentStatus:
         return _wire.AgentStatus(
@@ -335,7 +340,9 @@
             async with asyncio.timeout(CLOSE_LIMIT_SECONDS):
                 await self._links.close()
         except TimeoutError:
-            _log.warning("links did not close in time", limit_seconds=CLOSE_LIMIT_SECONDS)
+            loguru.logger.bind(limit_seconds=CLOSE_LIMIT_SECONDS).warning(
+                "links did not close in time"
+            )
         if self._runner is not None:
             await self._runner.close()
         await self._api.close()
--- a/src/daisyfall/process/_executor.py
+++ b/src/daisyfall/process/_executor.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
+import loguru
+
 from daisyfall import _clock, _wire
 from daisyfall.connection import _entry_link
-from daisyfall.process import _log, _metrics, _runner
+from daisyfall.process import _metrics, _runner
 from daisyfall.request import _ledger, _task_queue, _work
 
 REASON_CANCELLED = "cancelled"
@@ -203,7 +205,7 @@
             outcome = await runner.run(queued)
         except Exception as error:
             # Whether the request was sent is unknown here.
-            _log.failed(error, "the runner adapter failed")
+            loguru.logger.opt(exception=error).error("the runner adapter failed")
             outcome = _runner.Lost(f"internal error: {type(error).__name__}")
         self._settle(queued, outcome, round((_clock.monotonic() - began) * 1000, 1))
         if outcome == _UNREACHABLE and runner is self._runner:
--- a/src/daisyfall/process/_lifecycle.py
+++ b/src/daisyfall/process/_lifecycle.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Callable
 
+import loguru
 import transitions
 
-from daisyfall.process import _log
-
 STARTING = "starting"
 READY = "ready"
 DRAINING = "draining"
@@ -49,5 +48,5 @@
             self.become_unready()
 
     def _report(self) -> None:
-        _log.state("agent changed state", state=self.state)
+        loguru.logger.bind(state=self.state).info("agent changed state")
         self._on_change()
--- a/src/daisyfall/process/_metrics.py
+++ b/src/daisyfall/process/_metrics.py
@@ -21,7 +21,7 @@
 OUTCOMES = ("done", "failed", "not_started", "lost", "evicted")
 TABLE_OPERATIONS = ("read", "transact")
 TABLE_ERRORS = ("unavailable", "unknown", "conflict")
-UPSTREAM_STATES = ("connecting", "unlisted", "no runner", "ready", "draining", "drained", "absent")
+UPSTREAM_STATES = ("ready", "not_ready")
 
 _SECONDS = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 # The targets are 1.05 at p50 and 1.3 at p99.
@@ -57,7 +57,9 @@
 
     def _make_histograms(self) -> None:
         self._queue_time = self._histogram(
-            "queue_seconds", "Time from the admission of a task to its start order", _SECONDS
+            "queue_seconds",
+            "Time from the admission of a job to each of its start messages",
+            _SECONDS,
         )
         self._ratio = self._histogram(
             "response_over_ideal", "Response time of complete jobs over the ideal", _RATIOS
@@ -113,7 +115,7 @@
         self._bounded(self._results, outcome).inc(tasks)
 
     def queued_for(self, seconds: float) -> None:
-        """Record how long a task waited from its admission to its start order."""
+        """Record the time from a job's admission to one of its start messages."""
         self._queue_time.observe(seconds)
 
     def responded(self, ratio: float) -> None:
--- a/src/daisyfall/process/_settings.py
+++ b/src/daisyfall/process/_settings.py
@@ -52,7 +52,7 @@
     lease_ms: DurationMs = 2000
     margin_ms: DurationMs = 200
     renew_ms: DurationMs = 500
-    poll_ms: DurationMs = 500
+    poll_ms: DurationMs = 250
     heartbeat_ms: DurationMs = 1000
     heartbeat_limit_ms: DurationMs = 3000
     fence_timeout_ms: DurationMs = 1000
@@ -62,7 +62,8 @@
 class JobSettings:
     """Memory of jobs and the queue."""
 
-    retention_ms: DurationMs = 600_000
+    # Deadlines are at most half the retention time, and lists accept deadlines up to 300 s.
+    retention_ms: Annotated[int, Range(600_000, 3_600_000)] = 600_000
     clock_skew_ms: DurationMs = 5_000
     clock_tolerance_ms: DurationMs = 1_000
     answer_memory_mb: Annotated[int, Range(1, 65_536)] = 64
@@ -81,6 +82,8 @@
     far_distance_ms: DurationMs = 1  # one way to an upstream in another data centre
     # More than half would let one bad job take most upstreams out of service.
     removed_share_percent: Annotated[int, Range(0, 50)] = 33
+    # Between the jobs of one buyer: in order of arrival, or by what is left until the deadline.
+    job_order: Annotated[str, Choice(("fifo", "slack"))] = "fifo"
 
 
 @attrs.frozen
@@ -90,6 +93,7 @@
     body_limit_kb: Annotated[int, Range(1, 16_384)] = 8192
     header_limit_kb: Annotated[int, Range(1, 1024)] = 16
     request_timeout_ms: DurationMs = 5000
+    stop_grace_ms: DurationMs = 2000  # a stopping entry takes requests until the balancer knows
     connections_per_buyer: Annotated[int, Range(1, 65_536)] = 512
 
 
--- a/src/daisyfall/request/_ledger.py
+++ b/src/daisyfall/request/_ledger.py
@@ -91,6 +91,11 @@
     def __len__(self) -> int:
         return len(self._job_by_key)
 
+    @property
+    def epoch_count(self) -> int:
+        """Return the number of shards of which an epoch was seen."""
+        return len(self._epoch_by_shard)
+
     def epoch_of(self, shard: int) -> int:
         """Return the highest epoch seen of a shard, 0 if none was."""
         return self._epoch_by_shard.get(shard, 0)
@@ -203,9 +208,8 @@
         rows = []
         for (buyer, job_id), job in self._by_shard[shard].items():
             self._mark_sent(job)
-            started = _as_bytes(job.queued | job.started, job.task_count)
-            finished = _as_bytes(job.finished, job.task_count)
-            rows.append([buyer, job_id, job.digest, job.task_count, started, finished])
+            started = job.queued | job.started
+            rows.append([buyer, job_id, job.digest, job.task_count, started, job.finished])
         epoch = self.epoch_of(shard)
         messages = []
         for first in range(0, max(len(rows), 1), REPORT_JOBS):
@@ -309,10 +313,6 @@
         del self._by_shard[job.shard][key]
 
 
-def _as_bytes(bitmap: int, task_count: int) -> bytes:
-    return bitmap.to_bytes((task_count + 7) // 8, "little")
-
-
 def _is_task_item(item: object, task_count: int) -> bool:
     if not isinstance(item, list) or len(item) < TASK_FIELDS:
         return False
