--- a/src/daisyfall/connection/_entry_links.py
+++ b/src/daisyfall/connection/_entry_links.py
@@ -46,7 +46,8 @@
         self._task_by_id: dict[str, asyncio.Task] = {}
         self._seed_task: asyncio.Task | None = None
         self._changed = asyncio.Event()
-        self._log = loguru.logger.bind(agent=settings.id)
+        self._is_closing = False
+        self._reason_by_address: dict[str, str] = {}
 
     def start(self) -> None:
         """Start to dial."""
@@ -54,6 +55,7 @@
 
     async def close(self) -> None:
         """Write what is queued, close all links and stop dialling."""
+        self._is_closing = True
         await asyncio.gather(*[link.flush() for link in self.by_id.values()])
         # Each task ends with a closing handshake, so the entry has read all that was written.
         tasks = [task for task in [self._seed_task, *self._task_by_id.values()] if task]
@@ -75,6 +77,8 @@
         self._reconcile()
 
     def _reconcile(self) -> None:
+        if self._is_closing:
+            return
         # Without any link the last known roster stays in use.
         if self._roster_by_sender:
             self._url_by_id = {}
@@ -132,24 +136,31 @@
                 close_timeout=CLOSE_TIMEOUT_SECONDS,
                 proxy=None,
             )
-        except _DIAL_ERRORS as error:
+        except _DIAL_ERRORS:
             self._metrics.link_failed("dial")
-            self._log.debug("entry {} can't be reached: {}", address, error)
             return False
         began = loop.time()
         try:
             await self._serve(socket, expected_id)
         except _DIAL_ERRORS as error:
             self._metrics.link_failed("protocol")
-            self._log.debug("link to {} ended: {}", address, error)
-        except Exception:
+            self._report(address, str(error))
+        except Exception as error:
             # A message that can't be handled ends its link only, not the dialling task.
             self._metrics.link_failed("internal")
-            self._log.exception("link to {} failed", address)
+            loguru.logger.bind(address=address).opt(exception=error).error("link failed")
         finally:
             await socket.close()
         return loop.time() - began >= STABLE_SECONDS
 
+    def _report(self, address: str, reason: str) -> None:
+        """Log why an entry is not used, once for each reason."""
+        if self._reason_by_address.get(address) != reason:
+            self._reason_by_address[address] = reason
+            loguru.logger.bind(address=address, reason=reason).warning(
+                "entry refused or left the protocol"
+            )
+
     async def _serve(self, socket, expected_id: str) -> None:
         key = self._settings.keys[0]
         welcome = await _handshake.connect(socket, key, self._handler.hello())
@@ -162,7 +173,7 @@
         link = _entry_link.EntryLink(socket, entry_id, silence_limit, self._handler)
         self.by_id[entry_id] = link
         self._metrics.links(len(self.by_id))
-        self._log.info("link to entry {} is up", entry_id)
+        loguru.logger.bind(entry=entry_id).info("link up")
         self._notify()
         try:
             await link.serve()
@@ -170,5 +181,5 @@
             del self.by_id[entry_id]
             self._roster_by_sender.pop(entry_id, None)
             self._metrics.links(len(self.by_id))
-            self._log.info("link to entry {} is down", entry_id)
+            loguru.logger.bind(entry=entry_id).info("link down")
             self._reconcile()
