Release lost tasks in the dispatcher and answer used-up retries by kind

Cause: reading the code: tasks of a lost shard stayed counted as running at their agents, since their reports go to the next owner; a refused start of a failed job did the same. A job whose retry budget was used up failed with outcome_unknown and retry same id, which callers repeated in vain; a drain of a well-filled agent could use the budget up. The rest of a job that an earlier owner had admitted was refused by limits. Change: forget_shards releases everything of lost shards; kinds retries_used_up and retries_used_up_running; deliberate hand-backs need no budget; the rest of an admitted job is refused only if it can never run; _upstreams.py takes over the upstreams' state from _delivery.py.

--- a/src/daisyfall/errors.py
+++ b/src/daisyfall/errors.py
@@ -64,6 +64,8 @@
     UPSTREAM_LOST = "upstream_lost"
     RESULT_LOST = "result_lost"
     START_UNKNOWN = "start_unknown"
+    RETRIES_USED_UP = "retries_used_up"
+    RETRIES_USED_UP_RUNNING = "retries_used_up_running"
     OUTCOME_UNKNOWN = "outcome_unknown"
     # Operators.
     VERSION_CONFLICT = "version_conflict"
@@ -129,6 +131,12 @@
         "an earlier owner may have started a task at a lost upstream",
         1000,
     ),
+    Kind.RETRIES_USED_UP: Answer(
+        503, _NOT, Retry.SAME_ID, "upstreams refused a task and the retry budget is used up", 1000
+    ),
+    Kind.RETRIES_USED_UP_RUNNING: Answer(
+        502, _MAY, Retry.NEVER, "upstreams refused a task after another one had started"
+    ),
     Kind.OUTCOME_UNKNOWN: Answer(
         504, _MAY, Retry.SAME_ID, "the owning entry was lost before it answered", 500
     ),
--- a/src/daisyfall/process/_entry.py
+++ b/src/daisyfall/process/_entry.py
@@ -67,6 +67,7 @@
             settings.routing, settings.jobs, settings.data_centre, random.Random()
         )
         self.delivery = _delivery.Delivery(settings, self.registry, self.dispatcher, self.metrics)
+        self.upstreams = self.delivery.upstreams
         self.owner = _owner.Owner(
             settings, self.registry, self.dispatcher, self.delivery, self.metrics
         )
@@ -87,7 +88,6 @@
             metrics=self.metrics,
             peer_versions=self.peers.version_by_id,
         )
-        self.delivery.wish_of = self.operator_api.wish_of
         self.registry.calls = _registry.PeerCalls(
             self.peers.promise, self.peers.query, self.fencer.fence, self.peers.ping_all
         )
@@ -106,11 +106,11 @@
             for key, row in rows.items()
             if key.startswith(prefix)
         }
-        if wishes != self.operator_api.wish_by_id:
-            self.operator_api.wish_by_id = wishes
+        if wishes != self.upstreams.wish_by_id:
+            self.upstreams.wish_by_id = wishes
             for session in self.delivery.session_by_id.values():
                 session.send(self._roster(session))
-                self.delivery.update_upstream(session)
+                self.upstreams.update(session)
             self.delivery.pump_soon()
         self.peers.follow()
 
@@ -133,9 +133,7 @@
 
     def _use_lists(self, lists: _lists.Lists) -> None:
         self.dispatcher.use_lists(lists)
-        self.delivery.allowed_slots = lambda buyer: (
-            allowance.slots if (allowance := lists.allowance(buyer)) else 1
-        )
+        self.upstreams.lists = lists
         self.metrics.list_version(lists.version)
         for session in self.delivery.session_by_id.values():
             session.send(self._roster(session))
@@ -183,7 +181,7 @@
             for entry in self.registry.view.entry_by_id.values()
             if entry.state != _ownership.FENCED
         ]
-        wish = self.operator_api.wish_of(session.agent_id)
+        wish = self.upstreams.wish_of(session.agent_id)
         return _wire.Roster(entries, self.publisher.version, wish)
 
     # Life cycle.
--- a/src/daisyfall/request/_admission.py
+++ b/src/daisyfall/request/_admission.py
@@ -65,7 +65,7 @@
 ) -> None:
     """Raise `DispatchError` if the job can't be accepted."""
     _check_plan(request)
-    _check_upstreams(request, router)
+    check_upstreams(request, router)
     _check_queue(request, queue, queue_tasks)
     _check_deadline(request, queue)
 
@@ -93,7 +93,8 @@
         raise errors.DispatchError(Kind.LIMIT_IN_FLIGHT, "the plan allows no task in flight")
 
 
-def _check_upstreams(request: Request, router: _routing.Router) -> None:
+def check_upstreams(request: Request, router: _routing.Router) -> None:
+    """Raise `DispatchError` if no upstream that the plan allows could ever run a task."""
     if not router.agent_by_id:
         raise errors.DispatchError(Kind.NO_UPSTREAM)
     allowance = request.buyer.usage.allowance
--- a/src/daisyfall/request/_delivery.py
+++ b/src/daisyfall/request/_delivery.py
@@ -16,7 +16,7 @@
 from daisyfall import _clock, _wire
 from daisyfall.connection import _agent_session
 from daisyfall.process import _metrics, _registry, _settings
-from daisyfall.request import _dispatcher, _reports, _work
+from daisyfall.request import _dispatcher, _reports, _retries, _upstreams, _work
 
 OUTCOME_NAMES = {
     _wire.DONE: "done",
@@ -80,17 +80,12 @@
         self._reconciling_by_agent: dict[str, Indices] = {}
         self._pump_scheduled = False
         self._wakeup: asyncio.TimerHandle | None = None
-        self.allowed_slots = lambda buyer: 1
+        self.upstreams = _upstreams.Upstreams(settings, dispatcher, self.session_by_id)
 
     def bind(self, jobs: JobEvents) -> None:
         """Name the owner of the jobs."""
         self._jobs = jobs
 
-    def slots_for(self, buyer: str) -> int:
-        """Return the slots that the buyer may use at once, at least 1."""
-        usable = [s.status for s in self.session_by_id.values() if s.status and s.status.ready]
-        return max(1, min(self.allowed_slots(buyer), sum(status.slots for status in usable)))
-
     # Starts.
 
     def pump_soon(self) -> None:
@@ -149,7 +144,7 @@
         for agent_id in self._dispatcher.recalls(now):
             session = self.session_by_id.get(agent_id)
             if session is not None:
-                session.send(_wire.Recall("bad health"))
+                session.send(_wire.Recall(_retries.RECALLED))
                 self._metrics.wasted("recall")
 
     # Connections.
@@ -187,7 +182,7 @@
             session.incarnation, _clock.monotonic(), sent
         )
         # What was sent there stays outstanding until the agent is back or given up.
-        self.update_upstream(session)
+        self.upstreams.update(session)
         logger.bind(upstream=session.agent_id).warning("agent disconnected")
         self.pump_soon()
 
@@ -326,39 +321,7 @@
     def _take_status(self, session, status: _wire.AgentStatus) -> None:
         session.status = status
         session.listed = status.listed
-        self.update_upstream(session)
-
-    def update_upstream(self, session: _agent_session.AgentSession) -> None:
-        """Tell the dispatcher what the agent's upstream can take now."""
-        status = session.status
-        if status is None:
-            return
-        wish = self.wish_of(session.agent_id)
-        connected = self.session_by_id.get(session.agent_id) is session
-        willing = status.listed and status.ready and not status.draining and wish == "started"
-        usable = connected and willing
-        near = session.data_centre == self._settings.data_centre
-        self._dispatcher.update_upstream(
-            _dispatcher.Upstream(
-                agent_id=session.agent_id,
-                incarnation=session.incarnation,
-                data_centre=session.data_centre,
-                rack=session.rack,
-                slots=status.slots,
-                memory_mb=status.memory_mb,
-                accelerators=status.accelerators,
-                labels=tuple(status.labels),
-                running=status.running,
-                queued=status.queued,
-                usable=usable,
-                distance_ms=0.0 if near else self._settings.routing.far_distance_ms,
-            ),
-            _clock.monotonic(),
-        )
-
-    def wish_of(self, agent_id: str) -> str:
-        """Return the operators' wish for an upstream; the entry replaces this."""
-        return "started"
+        self.upstreams.update(session)
 
     def _take_report(self, session, report: _wire.FenceReport) -> None:
         self._metrics.wasted("fence_report")
--- a/src/daisyfall/request/_dispatcher.py
+++ b/src/daisyfall/request/_dispatcher.py
@@ -123,8 +123,11 @@
 
     # Work.
 
-    def admit(self, work: _work.Work, now: float) -> None:
-        """Queue the tasks of a job, or raise `DispatchError` if it can't be accepted."""
+    def admit(self, work: _work.Work, now: float, *, admitted: bool = False) -> None:
+        """Queue the tasks of a job, or raise `DispatchError` if it can't be accepted.
+
+        A job that an earlier owner has admitted is refused only if it can never run.
+        """
         if self._lists is None:
             raise errors.DispatchError(errors.Kind.LISTS_UNAVAILABLE)
         buyer = self._buyer(work.buyer, work.shard)
@@ -135,7 +138,10 @@
             work.buyer, work.tasks, self._estimates
         )
         request = _admission.Request(work, buyer, learnt_ms, longest_ms, now)
-        _admission.check(request, self._queue, self._router, self._jobs_settings.queue_tasks)
+        if admitted:
+            _admission.check_upstreams(request, self._router)
+        else:
+            _admission.check(request, self._queue, self._router, self._jobs_settings.queue_tasks)
         job = self._job_by_key.get(work.key)
         if job is None:
             job = self._flight.new_job(work.key, buyer)
@@ -258,6 +264,17 @@
         self._flight.forget_if_idle(job)
         return sorted(unsent), sent
 
+    def forget_shards(self, shards: set[int]) -> None:
+        """Forget all tasks of lost shards: their reports go to another owner from now on."""
+        count = self._jobs_settings.shard_count
+        for key in [k for k in self._job_by_key if _work.shard_of(k, count) in shards]:
+            self.remove_work(key)
+            job = self._job_by_key.get(key)
+            if job is not None:
+                for index in list(job.sent):
+                    self._flight.release(job, index)
+                self._flight.forget_if_idle(job)
+
     def expired(self, now: float) -> list[_work.Key]:
         """Return the jobs whose deadline passed, each once; the caller removes them."""
         self._expire(now)
--- a/src/daisyfall/request/_jobs.py
+++ b/src/daisyfall/request/_jobs.py
@@ -46,6 +46,7 @@
     has_result: bytearray
     remaining: int
     sent: bool = False  # a task was sent to an agent, now or by an earlier owner
+    joined: bool = False  # agents reported starts of an earlier owner
     fetching: set[int] = attrs.Factory(set)  # finished for an earlier owner, result asked for
     deferred: list[_work.Task] = attrs.Factory(list)  # started once `fetching` is empty
     longest_ms: float = 0.0
--- a/src/daisyfall/request/_operator_api.py
+++ b/src/daisyfall/request/_operator_api.py
@@ -35,7 +35,7 @@
         self._delivery = delivery
         self._metrics = metrics
         self._peer_versions = peer_versions
-        self.wish_by_id: dict[str, str] = {}
+        self._upstreams = delivery.upstreams
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes."""
@@ -142,7 +142,7 @@
         rows += [
             {"id": agent, "state": "absent", "wish": wish, "data_centre": "", "slots": 0}
             | {"running": 0, "queued": 0, "lists_version": 0}
-            for agent, wish in self.wish_by_id.items()
+            for agent, wish in self._upstreams.wish_by_id.items()
             if agent not in known
         ]
         return web.json_response({"upstreams": sorted(rows, key=lambda row: row["id"])})
@@ -153,14 +153,14 @@
             state = "connecting"
         elif not status.listed:
             state = "unlisted"
-        elif status.draining or self.wish_of(session.agent_id) != "started":
+        elif status.draining or self._upstreams.wish_of(session.agent_id) != "started":
             state = "draining" if status.running or status.queued else "drained"
         else:
             state = "ready" if status.ready else "no runner"
         return {
             "id": session.agent_id,
             "state": state,
-            "wish": self.wish_of(session.agent_id),
+            "wish": self._upstreams.wish_of(session.agent_id),
             "data_centre": session.data_centre,
             "slots": status.slots if status else 0,
             "running": status.running if status else 0,
@@ -168,10 +168,6 @@
             "lists_version": status.lists_version if status else 0,
         }
 
-    def wish_of(self, agent_id: str) -> str:
-        """Return the operators' wish for an upstream."""
-        return self.wish_by_id.get(agent_id, "started")
-
     async def put_upstream(self, request: web.Request) -> web.Response:
         """Keep an operator's wish in the table."""
         agent_id = request.match_info["id"]
--- a/src/daisyfall/request/_owner.py
+++ b/src/daisyfall/request/_owner.py
@@ -110,7 +110,7 @@
             self._fail(job, errors.DispatchError(errors.Kind.START_UNKNOWN))
             return
         self.reports.forget(job.work.shard, job.key)
-        job.sent = True
+        job.sent = job.joined = True
         self.jobs.add(job)
         for agent_id, report in reports.items():
             running = _reports.bits_of(report.started & ~report.finished)
@@ -129,15 +129,12 @@
         tasks, job.deferred = job.deferred, []
         work = job.work
         rest = attrs.evolve(work, tasks=tasks)
+        # The job was admitted by its earlier owner, so only what can never run is refused.
         try:
-            self._dispatcher.admit(rest, _clock.monotonic())
+            self._dispatcher.admit(rest, _clock.monotonic(), admitted=True)
         except errors.DispatchError as error:
-            self._fail(
-                job,
-                errors.DispatchError(
-                    errors.Kind.OUTCOME_UNKNOWN, f"the rest of the job was refused: {error.detail}"
-                ),
-            )
+            detail = f"the rest of the job was refused: {error.detail}"
+            self._fail(job, errors.DispatchError(errors.Kind.RETRIES_USED_UP_RUNNING, detail))
 
     def cancel(self, key: _work.Key) -> None:
         """Cancel a job that is not settled; settled ones stay as they are."""
@@ -146,8 +143,7 @@
             if key not in self.jobs.record_by_key:
                 raise errors.DispatchError(errors.Kind.NOT_FOUND)
             return
-        kind = errors.Kind.CANCELLED_RUNNING if job.sent else errors.Kind.CANCELLED
-        self._fail(job, errors.DispatchError(kind))
+        self._end(job, errors.Kind.CANCELLED, errors.Kind.CANCELLED_RUNNING)
 
     # What agents report about tasks.
 
@@ -186,24 +182,45 @@
         """Queue a task again that provably did not start, within the retry budget."""
         job = self.jobs.job_by_key.get(key)
         if job is None:
+            # Without this the task would count as running at the agent for ever.
+            self._dispatcher.not_started(key, index, reason, now)
             return
         if self._dispatcher.not_started(key, index, reason, now):
             self._metrics.retried(reason)
         else:
             detail = f"task {index} was not started ({reason}) and the retry budget is used up"
-            self._fail(job, errors.DispatchError(errors.Kind.OUTCOME_UNKNOWN, detail))
+            self._end(job, errors.Kind.RETRIES_USED_UP, errors.Kind.RETRIES_USED_UP_RUNNING, detail)
 
     # Settlement.
 
     def _complete(self, job: _jobs.Job) -> None:
         elapsed_ms = (_clock.monotonic() - job.submitted_at) * 1000
-        ideal_ms = max(job.longest_ms, job.total_ms / self._delivery.slots_for(job.work.buyer))
+        ideal_ms = max(
+            job.longest_ms, job.total_ms / self._delivery.upstreams.slots_for(job.work.buyer)
+        )
         if ideal_ms > 0:
             self._metrics.responded(elapsed_ms / ideal_ms)
         self.jobs.settle(job, _jobs.Complete(job.body()), _clock.wall_ms())
 
-    def _fail(self, job: _jobs.Job, error: errors.DispatchError) -> None:
+    def _end(
+        self, job: _jobs.Job, not_run: errors.Kind, may_have_run: errors.Kind, detail: str = ""
+    ) -> None:
+        """Fail a job with the kind that fits what is known of its starts."""
         _, sent_by_agent = self._dispatcher.remove_work(job.key)
+        if job.remaining == len(job.results) and not job.joined and not any(sent_by_agent.values()):
+            # Every start that was sent has been answered as not started.
+            job.sent = False
+        kind = may_have_run if job.sent else not_run
+        self._fail(job, errors.DispatchError(kind, detail), sent_by_agent)
+
+    def _fail(
+        self,
+        job: _jobs.Job,
+        error: errors.DispatchError,
+        sent_by_agent: dict[str, list[int]] | None = None,
+    ) -> None:
+        if sent_by_agent is None:
+            _, sent_by_agent = self._dispatcher.remove_work(job.key)
         self._delivery.cancel(job.key, sent_by_agent)
         self._metrics.refused(error.kind)
         self.jobs.settle(job, _jobs.Failed(error), _clock.wall_ms())
@@ -213,9 +230,9 @@
     def give_up(self, shards: set[int]) -> None:
         """Hand the unsettled jobs of lost shards to whoever waits for them."""
         for job in self.jobs.give_up(shards):
-            self._dispatcher.remove_work(job.key)
             if not job.settled.done():
                 job.settled.set_result(_jobs.Relinquished())
+        self._dispatcher.forget_shards(shards)
         self.reports.drop_shards(shards)
         self._delivery.give_up(shards)
 
@@ -235,9 +252,7 @@
             if job is None:
                 self._dispatcher.remove_work(key)
                 continue
-            passed = errors.Kind.DEADLINE_PASSED
-            kind = errors.Kind.DEADLINE_PASSED_RUNNING if job.sent else passed
-            self._fail(job, errors.DispatchError(kind))
+            self._end(job, errors.Kind.DEADLINE_PASSED, errors.Kind.DEADLINE_PASSED_RUNNING)
 
     def explain(self, key: _work.Key) -> dict:
         """Return why a job waits or how it ended."""
--- a/src/daisyfall/request/_retries.py
+++ b/src/daisyfall/request/_retries.py
@@ -49,7 +49,14 @@
         self._starts += count
 
     def take(self, reason: str, now: float) -> bool:
-        """Use one retry of a reason's budget; return whether there was one."""
+        """Use one retry of a reason's budget; return whether there was one.
+
+        A deliberate stop hands queued work back once, so it needs no budget; with one, a
+        drain of a well-filled agent would fail the jobs that it hands back.
+        """
+        if reason in DELIBERATE:
+            self.count_by_reason[reason] = self.count_by_reason.get(reason, 0) + 1
+            return True
         if reason not in self._budget_by_reason and len(self._budget_by_reason) >= _MAX_REASONS:
             reason = _OTHER
         budget = self._budget_by_reason.get(reason)
