--- a/src/daisyfall/process/_settings.py
+++ b/src/daisyfall/process/_settings.py
@@ -83,7 +83,7 @@
     # More than half would let one bad job take most upstreams out of service.
     removed_share_percent: Annotated[int, Range(0, 50)] = 33
     # Between the jobs of one buyer: in order of arrival, or by what is left until the deadline.
-    job_order: Annotated[str, Choice(("fifo", "slack"))] = "fifo"
+    job_order: Annotated[str, Choice(("fifo", "slack"))] = "slack"
 
 
 @attrs.frozen
--- a/src/daisyfall/request/_queue.py
+++ b/src/daisyfall/request/_queue.py
@@ -1,12 +1,15 @@
 """Weighted fair queue between buyers, and the order of the jobs of one buyer.
 
 Each buyer has a virtual time that advances by the run time of what it starts, divided by
-its priority; the buyer with the lowest one is served next. A buyer that was idle resumes
-at the present virtual time, so it neither saves up its share nor pays for a burst of others.
-
-Between the jobs of one buyer the order is that of admission (`fifo`), or that of the latest
-start (`slack`): the time at which a task has to start for its job to end at its ideal time.
-A later job can pass an earlier one then, but by no more than that one's ideal response time.
+its priority. The queue's virtual time advances by all run time started, divided by the
+priorities of the buyers that wait: a buyer ahead of it has had more than its fair share. A
+buyer that was idle resumes at the queue's time, so it doesn't save up its share.
+
+With the order `fifo`, the buyer with the lowest virtual time is served next, and its jobs in
+the order of admission. With `slack`, jobs are served by their latest start: the time at which
+a task has to start for its job to end at its ideal time. This holds between buyers too, as
+long as a buyer is not further ahead of its fair share than a burst; those that are wait for
+all others. A later job can pass an earlier one, but by no more than that one's ideal response.
 """
 
 import heapq
@@ -19,9 +22,13 @@
 # Run time for order and placement, declared run time, negative index, run time to count in
 # the queue, task. A list of these sorted upwards gives the longest task first by `pop()`.
 Entry = tuple[float, int, int, float, _work.Task]
+Rank = tuple[int, float]  # tier, and the place in it
 LaneKey = tuple[int, int]  # bit length of the memory in MB, accelerators
 
 JOB_ORDERS = ("fifo", "slack")
+# Run time in ms for each slot of its pool by which a buyer may be ahead of its fair share
+# before all others pass it: it bounds what a burst adds to another buyer's response time.
+BURST_MS = 250.0
 PLAIN: LaneKey = (0, 0)
 
 
@@ -103,7 +110,7 @@
     queued: int = 0
     queued_ms: float = 0.0
     lanes: dict[LaneKey, Lane] = attrs.Factory(dict)
-    listed: bool = False  # stands in its pool's heap
+    ticket: int = 0  # number of its valid entry in the pool's heap, 0 for none
     blocked: _limits.Limit | None = None
 
     def next_lane(self) -> Lane | None:
@@ -143,7 +150,7 @@
         self.queued_ms = 0.0
         self.active_weight = 0.0  # of the buyers that have queued tasks
         self._virtual_ms = 0.0
-        self._order = itertools.count()
+        self._order = itertools.count(1)
 
     def add(self, job: Job, entries: list[Entry], now: float) -> None:
         """Queue tasks of a job, split by lane; each lane's tasks are sorted."""
@@ -183,7 +190,7 @@
 
     def _count(self, job: Job, count: int, run_ms: float) -> None:
         buyer = job.buyer
-        if not buyer.queued:
+        if not buyer.queued and count:
             self.active_weight += buyer.weight
             buyer.virtual_ms = max(buyer.virtual_ms, self._virtual_ms)
         job.queued += count
@@ -207,8 +214,9 @@
         for entry in taken:
             run_ms += entry[3]
         buyer = part.job.buyer
-        self._virtual_ms = max(self._virtual_ms, buyer.virtual_ms)
         buyer.virtual_ms += run_ms / buyer.weight
+        if self.active_weight:
+            self._virtual_ms += run_ms / self.active_weight
         self._uncount(part.job, len(taken), run_ms)
         if self._by_slack and entries:
             _, number, _ = lane.heap[0]
@@ -242,11 +250,36 @@
         return indices
 
     def offer(self, buyer: Buyer) -> None:
-        """Put a buyer that has queued tasks into its pool's heap, unless a limit holds it."""
-        if buyer.listed or buyer.blocked or not buyer.queued:
+        """Put a buyer that has queued tasks into its pool's heap, unless a limit holds it.
+
+        An entry that it has there already becomes invalid.
+        """
+        if buyer.blocked or not buyer.queued:
             return
-        buyer.listed = True
-        heapq.heappush(buyer.pool.heap, (buyer.virtual_ms, next(self._order), buyer))
+        buyer.ticket = next(self._order)
+        heapq.heappush(buyer.pool.heap, (self.rank(buyer), buyer.ticket, buyer))
+
+    def rank(self, buyer: Buyer) -> Rank:
+        """Return the buyer's place; the lowest one is served next."""
+        if not self._by_slack:
+            return (1, buyer.virtual_ms)
+        ahead_ms = (buyer.virtual_ms - self._virtual_ms) * buyer.weight
+        if ahead_ms > BURST_MS * max(1, buyer.pool.slots()):
+            return (1, buyer.virtual_ms)
+        starts = [lane.heap[0][0] for lane in buyer.lanes.values() if lane.head()]
+        return (0, min(starts, default=0.0))
+
+    def first(self, heap: list) -> Buyer | None:
+        """Return the first buyer of a pool's heap, None if it is empty."""
+        while heap and heap[0][1] != heap[0][2].ticket:
+            heapq.heappop(heap)
+        return heap[0][2] if heap else None
+
+    def pop(self, heap: list) -> Buyer:
+        """Take the first buyer out of a pool's heap that `first` has found not empty."""
+        buyer = heapq.heappop(heap)[2]
+        buyer.ticket = 0
+        return buyer
 
     def unblock(self, buyer: Buyer) -> None:
         """Let a buyer be served again that a limit of its plan held back.
@@ -262,7 +295,7 @@
         heap = buyer.pool.heap
         heap[:] = [each for each in heap if each[2] is not buyer]
         heapq.heapify(heap)
-        buyer.listed = False
+        buyer.ticket = 0
 
     def set_weight(self, buyer: Buyer, weight: float) -> None:
         """Change a buyer's priority."""
--- a/src/daisyfall/request/_scheduler.py
+++ b/src/daisyfall/request/_scheduler.py
@@ -17,6 +17,9 @@
     tasks: list[_work.Task]
 
 
+_LAST: _queue.Rank = (2, 0.0)  # after every buyer
+
+
 class Scheduler:
     """Serves the buyers in turn while agents take work and plans allow it."""
 
@@ -41,34 +44,33 @@
         pools = self._router.pool_by_key.values()
         while self._queue.queued:
             best = None
-            limit_ms = float("inf")  # virtual time up to which the first buyer is served
+            limit = _LAST  # rank up to which the first buyer is served
             for pool in pools:
-                if pool.heap and pool.is_open():
+                if self._queue.first(pool.heap) and pool.is_open():
                     if best is None or pool.heap[0] < best.heap[0]:
                         if best is not None:
-                            limit_ms = min(limit_ms, best.heap[0][0])
+                            limit = min(limit, best.heap[0][0])
                         best = pool
                     else:
-                        limit_ms = min(limit_ms, pool.heap[0][0])
+                        limit = min(limit, pool.heap[0][0])
             if best is None:
                 break
-            self._serve(best, limit_ms, now, batches)
+            self._serve(best, limit, now, batches)
         for pool in pools:
             for buyer in pool.passed:
                 self._queue.offer(buyer)
             pool.passed.clear()
         return list(batches.values())
 
-    def _serve(self, pool: _groups.Pool, limit_ms: float, now: float, batches: dict) -> None:
+    def _serve(self, pool: _groups.Pool, last_rank: _queue.Rank, now: float, batches: dict) -> None:
         """Serve the first buyer of a pool until it is another's turn or the buyer has to wait."""
         queue, router = self._queue, self._router
-        buyer = heapq.heappop(pool.heap)[2]
-        buyer.listed = False
-        if pool.heap:
-            limit_ms = min(limit_ms, pool.heap[0][0])
+        buyer = queue.pop(pool.heap)
+        if queue.first(pool.heap):
+            last_rank = min(last_rank, pool.heap[0][0])
         usage = buyer.usage
         usage.fill(now)
-        while buyer.virtual_ms <= limit_ms:
+        while queue.rank(buyer) <= last_rank:
             lane = buyer.next_lane()
             if lane is None:
                 return
