--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -28,6 +28,8 @@
       | daisyfalld   | run                                    | needs FILE                             |
       | daisyfalld   | run examples/salinas/entry.yaml now    | unexpected argument 'now'              |
       | daisyfalld   | run examples/salinas/entry.yaml --ste=a=1 | unknown option '--ste', did you mean '--set'? |
+      | daisyfalld   | run examples/salinas/entry.yaml __class__ | unexpected argument '__class__'     |
+      | daisyfalld   | run examples/salinas/entry.yaml _execute | unexpected argument '_execute'       |
       | daisyfalld   | run absent.yaml                        | absent.yaml: (document): found can't be read |
       | daisyfalld   | check examples/salinas/entry.yaml --set lease.renew_ms=1900 | --set: lease.renew_ms: found 1900 |
 
--- a/src/daisyfall/_command_line.py
+++ b/src/daisyfall/_command_line.py
@@ -12,6 +12,7 @@
 import io
 import re
 import sys
+import weakref
 from collections.abc import Callable
 
 import fire
@@ -31,15 +32,17 @@
 
 
 class Command:
-    """A command with its arguments, not run yet."""
+    """A command with its arguments, not run yet.
 
-    __slots__ = ("_call",)
+    It has no members of its own, because fire takes a surplus argument for the name of a member
+    and would call it; `parse` refuses the names that every object has.
+    """
+
+    __slots__ = ("__weakref__",)
 
-    def __init__(self, call: Callable[[], int]):
-        self._call = call
 
-    def _execute(self) -> int:
-        return self._call()
+_CALL_BY_COMMAND: weakref.WeakKeyDictionary[Command, Callable[[], int]]
+_CALL_BY_COMMAND = weakref.WeakKeyDictionary()
 
 
 def command(call: Callable[..., int]) -> Callable[..., Command]:
@@ -55,7 +58,9 @@
     def bind(*arguments, **options):
         for name, value in options.items():
             _check_option(name, value, default_by_name[name])
-        return Command(functools.partial(call, *arguments, **options))
+        bound = Command()
+        _CALL_BY_COMMAND[bound] = functools.partial(call, *arguments, **options)
+        return bound
 
     return fire.decorators.SetParseFns(**dict.fromkeys(texts, str))(bind)
 
@@ -79,7 +84,7 @@
         print(_help(program, commands, arguments[:-1]), file=output)
         return 0 if arguments else USAGE_ERROR
     try:
-        return parse(commands, arguments)._execute()
+        return _CALL_BY_COMMAND[parse(commands, arguments)]()
     except InputError as error:
         print(f"{program}: {error}", file=sys.stderr)
         return USAGE_ERROR
@@ -91,6 +96,9 @@
 def parse(commands: dict, arguments: list[str]) -> Command:
     """Return the command that the arguments name; raise `UsageError` if they are wrong."""
     _check_words(commands, arguments)
+    for word in arguments:
+        if re.fullmatch(r"__\w+__", word):
+            raise UsageError(f"unexpected argument {word!r}")
     # Fire's own flags behind "--" start a debugger or print traces.
     if "--" in arguments:
         raise UsageError("a lone -- is not accepted")
