--- a/src/daisyfall/process/_lifecycle.py
+++ b/src/daisyfall/process/_lifecycle.py
@@ -24,8 +24,7 @@
 
     state: str
 
-    def __init__(self, agent_id: str, on_change: Callable[[], None]):
-        self._log = loguru.logger.bind(agent=agent_id)
+    def __init__(self, on_change: Callable[[], None]):
         self._on_change = on_change
         self._machine = transitions.Machine(
             self,
@@ -49,5 +48,5 @@
             self.become_unready()
 
     def _report(self) -> None:
-        self._log.bind(state=self.state).info("agent is {}", self.state)
+        loguru.logger.bind(state=self.state).info("agent changed state")
         self._on_change()
--- a/src/daisyfall/request/_jobs.py
+++ b/src/daisyfall/request/_jobs.py
@@ -46,6 +46,7 @@
     has_result: bytearray
     remaining: int
     sent: bool = False  # a task was sent to an agent, now or by an earlier owner
+    joined: bool = False  # agents reported starts of an earlier owner
     fetching: set[int] = attrs.Factory(set)  # finished for an earlier owner, result asked for
     deferred: list[_work.Task] = attrs.Factory(list)  # started once `fetching` is empty
     longest_ms: float = 0.0
@@ -132,8 +133,8 @@
             case Complete(body=body):
                 self._remember(job, Record(job.digest, job.work.shard, job.id_time_ms, body, None))
             case Failed(error=error):
-                # A refusal leaves nothing behind: the same id may be submitted again.
-                if errors.ANSWERS[error.kind].run is errors.Run.MAY_HAVE_RUN or job.sent:
+                # A job of which nothing was sent may be submitted again with the same id.
+                if job.sent:
                     record = Record(job.digest, job.work.shard, job.id_time_ms, None, error)
                     self._remember(job, record)
             case Relinquished():
--- a/src/daisyfall_standins/cluster.py
+++ b/src/daisyfall_standins/cluster.py
@@ -12,6 +12,7 @@
 import attrs
 from prometheus_client import parser
 
+from daisyfall import _ids
 from daisyfall.version import _lists
 from daisyfall_standins import _shape, processes
 
@@ -117,6 +118,23 @@
 
         self._wait_entries("upstreams", lambda answer: count_ready(answer) >= count)
 
+    def wait_balanced(self) -> None:
+        """Return when each shard is owned by the running entry that wins its rendezvous hash.
+
+        An entry that starts gets its shards seconds later, which moves jobs between entries.
+        """
+        live = [entry.name for entry in self.entries if entry.popen.poll() is None]
+
+        def is_balanced(answer: dict) -> bool:
+            owners = answer.get("owners", [])
+            return bool(owners) and all(
+                each["owner"] == _ids.rendezvous_winner(str(each["shard"]), live)
+                and each["state"] in ("owned", "active")
+                for each in owners
+            )
+
+        self._wait_entries("owners", is_balanced)
+
     def _wait_entries(self, resource: str, condition: Callable[[dict], bool]) -> None:
         limit = time.monotonic() + _WAIT_SECONDS
         for entry in self.entries:
@@ -135,13 +153,15 @@
         return call(method, url, body, self.fleet.operator_token)
 
     def starts(self) -> Starts:
-        """Return the starts that all runners counted."""
-        by_id: collections.Counter[str] = collections.Counter()
-        by_token: collections.Counter[str] = collections.Counter()
-        for runner in self.runners:
-            _, counted = call("GET", f"{runner.url}/v1/starts?ids=1")
-            by_id.update(counted["count_by_id"])
-            by_token.update(counted["count_by_token"])
+        """Return the starts in the journals of all runners, of those that were killed too."""
+        rows = [
+            json.loads(line)
+            for runner in self.runners
+            if runner.journal.exists()
+            for line in runner.journal.read_text().splitlines()
+        ]
+        by_id = collections.Counter(task_id for task_id, _ in rows)
+        by_token = collections.Counter(token for _, token in rows if token)
         return Starts(by_id, by_token)
 
     def sum_metric(self, name: str, group: list[processes.Process] | None = None) -> float:
