--- /dev/null
+++ b/features/steps/dispatch_history_steps.py
@@ -0,0 +1,179 @@
+"""Random histories of a dispatcher, checked against plain sets of what was sent and reported."""
+
+import collections
+
+import attrs
+import dispatch_bench
+import hypothesis
+from behave import then
+from hypothesis import strategies
+
+from daisyfall import _wire
+from daisyfall.request import _work
+
+RATE = 10.0
+LIMITS = {
+    "ana": {"tasks_in_flight": 9, "slots": 6, "accelerators": 2, "starts_per_second": RATE},
+    "bela": {"tasks_in_flight": 40, "slots": 3, "accelerators": 4, "starts_per_second": RATE},
+    "caro": {"data_centres": ["quito"], "priority": 5, "starts_per_second": RATE},
+}
+NEEDS = [{}, {}, {"memory_mb": 700}, {"accelerators": 1}, {"memory_mb": 300, "accelerators": 2}]
+OPERATIONS = ["admit", "admit", "done", "done", "fail", "refuse", "wait", "wait", "remove", "load"]
+OPERATIONS += ["agent_gone", "agent_back", "limits", "unusable"]
+AGENTS = {"a0": "quito", "a1": "quito", "a2": "cayambe"}
+STEPS = strategies.lists(
+    strategies.tuples(strategies.sampled_from(OPERATIONS), strategies.integers(0, 2**20)),
+    min_size=30,
+    max_size=120,
+)  # operation, and the number that it takes its choices from
+
+
+class History(dispatch_bench.Bench):
+    """A bench that checks each start."""
+
+    def __init__(self, **settings):
+        super().__init__(**settings)
+        for buyer, limits in LIMITS.items():
+            self.set_plan(buyer, **limits)
+        for agent_id in AGENTS:
+            self.add_agent(agent_id)
+        self.began = self.now
+        self.may_start = collections.Counter()  # by key and index
+        self.starts = collections.Counter()  # by buyer
+        self.jobs = 0
+
+    def add_agent(self, agent_id, usable=True):
+        place = {"data_centre": AGENTS[agent_id], "rack": agent_id, "usable": usable}
+        self.add_upstream(agent_id, slots=4, memory_mb=1000, accelerators=2, **place)
+
+    def send(self):
+        before = self.use()
+        known = len(self.open)
+        super().send()
+        for agent_id, key, task in self.open[known:]:
+            assert self.may_start[key, task.index] == 1, f"{key} task {task.index} started twice"
+            self.may_start[key, task.index] -= 1
+            self.starts[key[0]] += 1
+            assert self.upstream_by_id[agent_id].usable, f"start at {agent_id}, which is out"
+        after = self.use()
+        for (buyer, name), used in after.items():
+            limit = getattr(self.plans[buyer], name)
+            assert used <= max(limit, before[buyer, name]), f"{buyer}: {used} {name} of {limit}"
+        for buyer, count in self.starts.items():
+            most = RATE * (1.0 + self.now - self.began)
+            assert count <= most, f"{buyer}: {count} starts, the rate allows {most}"
+        self.check_upstreams()
+
+    def use(self):
+        """Return tasks in flight, slots and accelerators by buyer, counted from scratch."""
+        use = collections.Counter()
+        at_agent = collections.Counter()
+        for agent_id, key, task in self.open:
+            at_agent[key[0], agent_id] += 1
+            use[key[0], "tasks_in_flight"] += 1
+            use[key[0], "accelerators"] += task.accelerators
+        for (buyer, _), count in at_agent.items():
+            use[buyer, "slots"] += min(count, 4)
+        return use
+
+    def check_upstreams(self):
+        for agent_id in AGENTS:
+            here = [task for agent, _, task in self.open if agent == agent_id]
+            assert sum(task.memory_mb for task in here) <= 1000, f"memory of {agent_id}"
+            assert sum(task.accelerators for task in here) <= 2, f"accelerators of {agent_id}"
+
+    def step(self, operation, number):
+        """Do one operation and send what is due."""
+        match operation:
+            case "admit":
+                self.admit_some(number)
+            case "done" | "fail" if self.open:
+                outcome = [_wire.DONE, _wire.FAILED][operation == "fail"]
+                self.report(self.open[number % len(self.open)], outcome, number % 300)
+            case "refuse" if self.open:
+                self.refuse(self.open[number % len(self.open)], number)
+            case "wait":
+                self.now += number % 1000 / 2000.0
+                for key in self.dispatcher.expired(self.now):
+                    self.remove(key)
+            case "remove" if self.may_start:
+                self.remove(sorted(self.may_start)[number % len(self.may_start)][0])
+            case "load":
+                self.dispatcher.update_load("a0", number % 9, number % 5, self.now)
+            case "agent_gone":
+                self.lose(f"a{number % 3}")
+            case "agent_back" | "unusable":
+                self.add_agent(f"a{number % 3}", operation == "agent_back")
+            case "limits":
+                self.set_plan("ana", slots=number % 8, tasks_in_flight=number % 12)
+        self.send()
+
+    def admit_some(self, number):
+        buyer = sorted(LIMITS)[number % 3]
+        self.jobs += 1
+        new = [
+            _work.Task(index, f"k{index % 2}", None, number % 500, **NEEDS[(number + index) % 5])
+            for index in range(1 + number % 30)
+        ]
+        key = (buyer, f"j{self.jobs}")
+        self.may_start.update((key, task.index) for task in new)
+        self.admit(key[1], buyer, new, deadline_ms=200 + number % 3000)
+        if self.error:
+            for task in new:
+                del self.may_start[key, task.index]
+
+    def refuse(self, item, number):
+        _, key, task = item
+        self.open.remove(item)
+        reason = ["connect", "recalled"][number % 2]
+        if self.dispatcher.not_started(key, task.index, reason, self.now):
+            self.may_start[key, task.index] += 1
+
+    def remove(self, key):
+        unsent, sent = self.dispatcher.remove_work(key)
+        in_flight = sorted((agent, task.index) for agent, k, task in self.open if k == key)
+        listed = sorted((agent, index) for agent, all_ in sent.items() for index in all_)
+        assert listed == in_flight, f"{key}: in flight {in_flight}, listed {listed}"
+        lost = {i for (k, i), left in self.may_start.items() if k == key and left} - set(unsent)
+        assert not lost, f"{key}: {lost} never started and are not listed"
+        for index in unsent:
+            self.may_start[key, index] = 0
+
+    def lose(self, agent_id):
+        lost = sorted(self.dispatcher.remove_upstream(agent_id))
+        here = sorted((key, task.index) for agent, key, task in self.open if agent == agent_id)
+        assert lost == here, f"lost {lost} with {agent_id}, expected {here}"
+        self.open = [item for item in self.open if item[0] != agent_id]
+        self.upstream_by_id[agent_id] = attrs.evolve(self.upstream_by_id[agent_id], usable=False)
+
+    def finish(self):
+        """End everything; return the snapshot."""
+        for key in {key for key, _ in self.may_start}:
+            self.remove(key)
+        for item in list(self.open):
+            self.report(item)
+        return self.dispatcher.snapshot()
+
+
+@then(
+    "the dispatcher keeps its counts in {count:d} random histories"
+    " with the policy {policy:w} and the order {order:w}"
+)
+def check_histories(context, count, policy, order):
+    # Without the shrink phase, which can take minutes, a failure shows its history as it is.
+    phases = [hypothesis.Phase.generate]
+
+    @hypothesis.settings(
+        max_examples=count, derandomize=True, database=None, deadline=None, phases=phases
+    )
+    @hypothesis.given(steps=STEPS)
+    def check(steps):
+        history = History(policy=policy, job_order=order)
+        for operation, number in steps:
+            history.step(operation, number)
+        left = history.finish()
+        counts = {name: left[name] for name in ("jobs", "queued", "in_flight")}
+        assert not any(counts.values()), f"left behind: {counts}"
+        assert not left["use_by_buyer"], left["use_by_buyer"]
+
+    check()
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -1,24 +1,10 @@
 """Steps on the dispatcher: agents, plans and time are tables and numbers, nothing waits."""
 
-import random
-
-import attrs
+import dispatch_bench
 import parse
 from behave import given, register_type, then, when
 
-from daisyfall import _wire, errors
-from daisyfall.process import _settings
-from daisyfall.request import _dispatcher, _work
-from daisyfall.version import _lists
-
-PLAN = _lists.Allowance(
-    starts_per_second=1e6,
-    tasks_in_flight=10_000,
-    slots=10_000,
-    accelerators=8,
-    largest_job_tasks=1900,
-    longest_deadline_ms=60_000,
-)
+from daisyfall.request import _work
 
 
 @parse.with_pattern(r"[\d, ]+")
@@ -29,78 +15,9 @@
 register_type(Numbers=read_numbers)
 
 
-class Bench:
-    """A dispatcher with its virtual time and all that it sent."""
-
-    def __init__(self, **settings):
-        self.now = 1000.0
-        self.jobs = _settings.JobSettings(queue_tasks=settings.pop("queue_tasks", 100_000))
-        self.settings = _settings.RoutingSettings(**settings)
-        rng = random.Random(7)
-        self.dispatcher = _dispatcher.Dispatcher(self.settings, self.jobs, "quito", rng)
-        self.dispatcher.activated(0, self.now - 10.0)  # the rate buckets are full
-        self.plans = {}
-        self.upstream_by_id = {}
-        self.sent = []  # (agent, key, task)
-        self.open = []  # those of them without a report
-        self.error = None
-
-    def set_plan(self, buyer, **limits):
-        """Change a buyer's plan, with one plan for each buyer."""
-        self.plans[buyer] = attrs.evolve(self.plans.get(buyer, PLAN), **limits)
-        buyers = {name: _lists.Buyer(name, name, "", "") for name in self.plans}
-        self.dispatcher.use_lists(_lists.Lists(1, "", buyers, dict(self.plans)))
-
-    def add_upstream(self, agent_id, **fields):
-        """Add or change an upstream."""
-        known = self.upstream_by_id.get(agent_id)
-        if known is None:
-            known = _dispatcher.Upstream(agent_id, "i1", "quito", memory_mb=65_536)
-        self.upstream_by_id[agent_id] = attrs.evolve(known, **fields)
-        self.dispatcher.update_upstream(self.upstream_by_id[agent_id], self.now)
-
-    def admit(self, job, buyer, tasks, deadline_ms=20_000):
-        """Admit a job and send what is due; keep the refusal if there is one."""
-        if buyer not in self.plans:
-            self.set_plan(buyer)
-        work = _work.Work(buyer, job, 0, tasks, self.now + deadline_ms / 1000.0)
-        self.error = None
-        try:
-            self.dispatcher.admit(work, self.now)
-        except errors.DispatchError as error:
-            self.error = error
-        self.send()
-
-    def send(self):
-        """Take what the dispatcher sends now."""
-        for each in self.dispatcher.assign(self.now):
-            items = [(each.agent_id, each.work.key, task) for task in each.tasks]
-            self.sent += items
-            self.open += items
-
-    def report(self, item, outcome=_wire.DONE, run_ms=100.0):
-        """Report one sent task."""
-        self.open.remove(item)
-        self.dispatcher.finished(item[1], item[2].index, outcome, run_ms, self.now)
-
-    def learn(self, kind, run_ms, buyers=("ana", "bela")):
-        """Teach a kind's run time by one task of each buyer, and forget that it was sent."""
-        for buyer in buyers:
-            self.admit(f"learn-{kind}", buyer, tasks(1, kind))
-            self.report(self.open[-1], run_ms=run_ms)
-        self.sent.clear()
-
-
-def tasks(count, kind="label", **fields):
-    """Return `count` equal tasks."""
-    return [
-        _work.Task(index, kind, None, fields.pop("run_ms", 100), **fields) for index in range(count)
-    ]
-
-
 @given("the dispatcher has {count:d} agents with {slots:d} slots")
 def make_dispatcher(context, count, slots):
-    context.bench = Bench(**getattr(context, "settings", {}))
+    context.bench = dispatch_bench.Bench(**getattr(context, "settings", {}))
     for number in range(count):
         context.bench.add_upstream(f"agent{number}", slots=slots, rack=f"rack{number // 3}")
 
@@ -117,7 +34,7 @@
 
 @when('the dispatcher admits a job "{job}" of "{buyer}" with {count:d} tasks')
 def admit(context, job, buyer, count):
-    context.bench.admit(job, buyer, tasks(count))
+    context.bench.admit(job, buyer, dispatch_bench.tasks(count))
 
 
 @when('the dispatcher admits a job "{job}" of "{buyer}" with tasks of {times:Numbers} ms')
--- a/src/daisyfall/request/_explain.py
+++ b/src/daisyfall/request/_explain.py
@@ -57,8 +57,14 @@
         "queued": queue.queued,
         "queued_by_buyer": {each.name: each.queued for each in buyers if each.queued},
         "in_flight": sum(agent.own for agent in agents.values()),
-        "in_flight_by_buyer": {
-            each.name: each.usage.in_flight for each in buyers if each.usage.in_flight
+        "use_by_buyer": {
+            each.name: {
+                "in_flight": each.usage.in_flight,
+                "slots": each.usage.slots,
+                "accelerators": each.usage.accelerators,
+            }
+            for each in buyers
+            if each.usage.in_flight or each.usage.slots or each.usage.accelerators
         },
         "in_flight_by_agent": {name: agent.own for name, agent in agents.items()},
         "foreign_by_agent": {name: agent.foreign for name, agent in agents.items()},
