--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -73,3 +73,91 @@
 def check_order(context, times):
     sent = [task.run_ms for _, _, task in context.bench.sent]
     assert sent == times, f"sent {sent}, expected {times}"
+
+
+@when(
+    'the dispatcher admits a job "{job}" of "{buyer}" with {count:d} tasks'
+    " that need {need:d} accelerators"
+)
+def admit_accelerators(context, *, job, buyer, count, need):
+    context.bench.admit(job, buyer, dispatch_bench.tasks(count, accelerators=need))
+
+
+@when('the dispatcher admits a job "{job}" of "{buyer}" with {count:d} tasks that have {ms:d} ms')
+def admit_deadline(context, *, job, buyer, count, ms):
+    context.bench.admit(job, buyer, dispatch_bench.tasks(count), ms)
+
+
+@when("{ms:d} ms pass for the dispatcher")
+def let_pass(context, ms):
+    context.bench.now += ms / 1000.0
+    context.bench.send()
+
+
+@given("the dispatcher has taken over the shard")
+def take_over(context):
+    context.bench.dispatcher.activated(0, context.bench.now)
+
+
+@given('the dispatcher adopts {count:d} tasks of "{buyer}" at "{agent}"')
+def adopt(context, count, buyer, agent):
+    context.bench.dispatcher.adopt((buyer, "earlier"), list(range(count)), agent, None)
+
+
+@given('the dispatcher has {count:d} tasks of "{buyer}" ahead')
+def queue_ahead(context, count, buyer):
+    if count:
+        context.bench.admit("ahead", buyer, dispatch_bench.tasks(count), 60_000)
+
+
+@when(
+    'the dispatcher is asked for {count:d} tasks of "{buyer}" that need {memory:d} MB'
+    " and {accelerators:d} accelerators in {ms:d} ms"
+)
+def ask(context, *, count, buyer, memory, accelerators, ms):
+    new = dispatch_bench.tasks(count, memory_mb=memory, accelerators=accelerators)
+    context.bench.sent.clear()
+    context.bench.admit("asked", buyer, new, ms, send=False)
+
+
+@given('the dispatcher loses "{first}", "{second}" and "{third}"')
+def lose(context, first, second, third):
+    for agent_id in (first, second, third):
+        context.bench.dispatcher.remove_upstream(agent_id)
+
+
+@given("the dispatcher has {count:d} agents without accelerators")
+def add_plain(context, count):
+    for number in range(count):
+        context.bench.add_upstream(f"plain{number}", accelerators=0)
+
+
+@then('the dispatcher answers "{kind}"')
+def check_answer(context, kind):
+    error = context.bench.error
+    found = error.kind.value if error else "accepted"
+    assert found == kind, f"answered {found} ({error}), expected {kind}"
+
+
+@then('the dispatcher explains that "{job}" of "{buyer}" waits for "{reason}"')
+def check_reason(context, job, buyer, reason):
+    found = context.bench.dispatcher.explain((buyer, job), context.bench.now)["waits_for"]
+    assert found == reason, f"waits for {found!r}, expected {reason!r}"
+
+
+@then("the dispatcher wants to be called again after {ms:d} ms")
+def check_wakeup(context, ms):
+    found = (context.bench.dispatcher.next_wakeup(context.bench.now) - context.bench.now) * 1000.0
+    assert abs(found - ms) < 1.0, f"next wakeup in {found} ms, expected {ms} ms"
+
+
+@then(
+    'the dispatcher says that "{job}" of "{buyer}" expired,'
+    " with {unsent:d} tasks unsent and {sent:d} sent"
+)
+def check_expired(context, *, job, buyer, unsent, sent):
+    bench = context.bench
+    assert bench.dispatcher.expired(bench.now) == [(buyer, job)]
+    never, in_flight = bench.dispatcher.remove_work((buyer, job))
+    counts = (len(never), sum(len(each) for each in in_flight.values()))
+    assert counts == (unsent, sent), f"unsent and sent: {counts}, expected {(unsent, sent)}"
--- a/src/daisyfall/request/_limits.py
+++ b/src/daisyfall/request/_limits.py
@@ -10,6 +10,8 @@
 _BUCKET_S = 1.0
 # Starts are released in steps of this time, so that a high rate does not wake the loop for each.
 _STEP_S = 0.005
+# A bucket that rounding leaves this much short of a token counts as having it.
+_ROUNDING = 1e-6
 
 
 class Limit(enum.Enum):
@@ -61,9 +63,9 @@
         allowance = self.allowance
         if allowance is None:
             return 0, Limit.PLAN
-        if self.tokens < 1.0:
+        if self.tokens < 1.0 - _ROUNDING:
             return 0, Limit.RATE
-        room = min(int(self.tokens), allowance.tasks_in_flight - self.in_flight)
+        room = min(int(self.tokens + _ROUNDING), allowance.tasks_in_flight - self.in_flight)
         if room <= 0:
             return 0, Limit.IN_FLIGHT
         if self.slots >= allowance.slots:
@@ -109,8 +111,7 @@
         if rate <= 0:
             return None
         wanted = max(1.0, min(queued, rate * _STEP_S))
-        # The margin keeps rounding from leaving the bucket just short of a token.
-        return self.filled_at + max(0.0, wanted - self.tokens) / rate + 1e-6
+        return self.filled_at + max(0.0, wanted - self.tokens) / rate
 
     def rate_wait(self, starts: int) -> float:
         """Return the seconds until this many starts have had their tokens."""
