--- a/src/daisyfall/_wire.py
+++ b/src/daisyfall/_wire.py
@@ -171,7 +171,8 @@
 class FenceReport:
     """Agent to entry: the jobs of a shard, `[[buyer, job_id, digest, count, started, finished]]`.
 
-    `started` and `finished` are bitmaps by task index; `last` ends the report.
+    `started` and `finished` are integers with one bit for each task index; `last`
+    ends the report.
     """
 
     shard: int
@@ -241,6 +242,7 @@
     owner_id: str
     owner_incarnation: str
     duration_ms: int
+    peer_incarnation: str  # a promise of another incarnation would not be known to a taker
 
 
 @_message(33)
@@ -250,6 +252,7 @@
     request: int
     owner_id: str
     owner_incarnation: str
+    peer_incarnation: str
 
 
 @_message(34)
@@ -263,10 +266,11 @@
 
 @_message(35)
 class Ping:
-    """Heartbeat between entries; the answer is a `Reply`."""
+    """Heartbeat between entries; the answer is a `Reply` with the peer's lists version."""
 
     request: int
     lists_version: int
+    shards_released: bool = False
 
 
 def encode(message: Any) -> bytes:
--- a/src/daisyfall/errors.py
+++ b/src/daisyfall/errors.py
@@ -64,6 +64,8 @@
     UPSTREAM_LOST = "upstream_lost"
     RESULT_LOST = "result_lost"
     START_UNKNOWN = "start_unknown"
+    RETRIES_USED_UP = "retries_used_up"
+    RETRIES_USED_UP_RUNNING = "retries_used_up_running"
     OUTCOME_UNKNOWN = "outcome_unknown"
     # Operators.
     VERSION_CONFLICT = "version_conflict"
@@ -117,13 +119,23 @@
     Kind.CANCELLED_RUNNING: Answer(410, _MAY, Retry.NEW_ID, "the job was cancelled after a start"),
     Kind.DEADLINE_PASSED: Answer(504, _NOT, Retry.NEW_ID, "the deadline passed before any start"),
     Kind.DEADLINE_PASSED_RUNNING: Answer(
-        504, _MAY, Retry.SAME_ID, "the deadline passed after a task had started"
+        504, _MAY, Retry.NEVER, "the deadline passed after a task had started"
     ),
     Kind.TASK_FAILED: Answer(502, _MAY, Retry.NEW_ID, "a task ran and failed"),
-    Kind.UPSTREAM_LOST: Answer(502, _MAY, Retry.SAME_ID, "an upstream was lost with a task on it"),
+    Kind.UPSTREAM_LOST: Answer(502, _MAY, Retry.NEVER, "an upstream was lost with a task on it"),
     Kind.RESULT_LOST: Answer(502, _MAY, Retry.NEVER, "a task finished but its result is gone"),
     Kind.START_UNKNOWN: Answer(
-        502, _MAY, Retry.SAME_ID, "an earlier owner may have started a task at a lost upstream"
+        502,
+        _MAY,
+        Retry.SAME_ID,
+        "an earlier owner may have started a task at a lost upstream",
+        1000,
+    ),
+    Kind.RETRIES_USED_UP: Answer(
+        503, _NOT, Retry.SAME_ID, "upstreams refused a task and the retry budget is used up", 1000
+    ),
+    Kind.RETRIES_USED_UP_RUNNING: Answer(
+        502, _MAY, Retry.NEVER, "upstreams refused a task after another one had started"
     ),
     Kind.OUTCOME_UNKNOWN: Answer(
         504, _MAY, Retry.SAME_ID, "the owning entry was lost before it answered", 500
@@ -162,3 +174,9 @@
         if self.field:
             body |= {"field": self.field, "value": self.value, "expected": self.expected}
         return body
+
+
+def wrong_field(field: str, value: object, expected: str) -> DispatchError:
+    """Return the refusal of one field, showing what was found and what was expected."""
+    detail = f"{field} is {value}, expected {expected}"
+    return DispatchError(Kind.INVALID_FIELD, detail, field=field, value=value, expected=expected)
