--- a/features/dispatch_limits.feature
+++ b/features/dispatch_limits.feature
@@ -108,3 +108,10 @@
     When the dispatcher admits a job "a1" of "ana" with 20 tasks that have 500 ms
     And 600 ms pass for the dispatcher
     Then the dispatcher says that "a1" of "ana" expired, with 8 tasks unsent and 12 sent
+
+  Scenario: small tasks of others don't keep a large one from memory for ever
+    Given the dispatcher has 1 agents with 4 slots
+    When the dispatcher admits a job "b1" of "bela" with 60 tasks that need 20000 MB
+    And the dispatcher admits a job "a1" of "ana" with 1 tasks that need 60000 MB
+    And the dispatcher hears that 30 tasks are done, 50 ms apart
+    Then the dispatcher has sent 1 tasks of "a1"
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -83,6 +83,20 @@
     context.bench.admit(job, buyer, dispatch_bench.tasks(count, accelerators=need))
 
 
+@when(
+    'the dispatcher admits a job "{job}" of "{buyer}" with {count:d} tasks that need {memory:d} MB'
+)
+def admit_memory(context, *, job, buyer, count, memory):
+    context.bench.admit(job, buyer, dispatch_bench.tasks(count, memory_mb=memory))
+
+
+@when("the dispatcher hears that {count:d} tasks are done, {ms:d} ms apart")
+def report_slowly(context, count, ms):
+    for _ in range(count):
+        context.bench.now += ms / 1000.0
+        report_done(context, 1)
+
+
 @when('the dispatcher admits a job "{job}" of "{buyer}" with {count:d} tasks that have {ms:d} ms')
 def admit_deadline(context, *, job, buyer, count, ms):
     context.bench.admit(job, buyer, dispatch_bench.tasks(count), ms)
--- a/src/daisyfall/process/_settings.py
+++ b/src/daisyfall/process/_settings.py
@@ -82,7 +82,8 @@
     far_distance_ms: DurationMs = 1  # one way to an upstream in another data centre
     # More than half would let one bad job take most upstreams out of service.
     removed_share_percent: Annotated[int, Range(0, 50)] = 33
-    # Between the jobs of one buyer: in order of arrival, or by what is left until the deadline.
+    # Between the jobs of one buyer: in order of admission, or by when each task has to start for
+    # its job to end at its ideal time.
     job_order: Annotated[str, Choice(("fifo", "slack"))] = "fifo"
 
 
--- a/src/daisyfall/request/_dispatcher.py
+++ b/src/daisyfall/request/_dispatcher.py
@@ -187,6 +187,7 @@
 
     def assign(self, now: float) -> list[Assignment]:
         """Return the starts that are due now; each is counted as sent."""
+        self._router.now = now
         self._expire(now)
         for job, index in self._retries.due(now):
             entry = job.delayed.pop(index, None)
--- a/src/daisyfall/request/_groups.py
+++ b/src/daisyfall/request/_groups.py
@@ -47,6 +47,8 @@
     foreign_until: float = 0.0  # when the foreign load is next taken to have halved
     held: int = 0  # slots kept empty after tasks failed fast
     share: int = 0  # slots that the evidence leaves to the agent
+    reserved_for: str = ""  # buyer that waits for much of its memory or accelerators
+    reserved_until: float = 0.0
     level: int | None = None
     evidence: object = None  # of the health module
     memory_used: int = 0
@@ -105,13 +107,15 @@
                 break
         return best
 
-    def find(self, memory_mb: int, accelerators: int) -> Agent | None:
+    def find(self, task: _work.Task, buyer: str, now: float) -> Agent | None:
         """Return the least loaded agent with memory and accelerators left for a task."""
         for level in sorted(self.buckets):
             for agent in self.buckets[level]:
+                if agent.reserved_for != buyer and agent.reserved_until > now:
+                    continue
                 if (
-                    self.memory_mb - agent.memory_used >= memory_mb
-                    and self.accelerators - agent.accelerators_used >= accelerators
+                    self.memory_mb - agent.memory_used >= task.memory_mb
+                    and self.accelerators - agent.accelerators_used >= task.accelerators
                 ):
                     return agent
         return None
--- a/src/daisyfall/request/_queue.py
+++ b/src/daisyfall/request/_queue.py
@@ -79,6 +79,7 @@
     key: LaneKey
     heap: list[tuple[float, int, Part]] = attrs.Factory(list)
     blocked: str = ""  # why the lane waits for a resource, empty if it does not
+    waits_since: float | None = None  # when its first task was first held back
 
     def head(self) -> Part | None:
         """Return the first part that has tasks."""
--- a/src/daisyfall/request/_routing.py
+++ b/src/daisyfall/request/_routing.py
@@ -13,6 +13,8 @@
 CHUNK_MS = 0.5
 # Sends younger than the round trip and this are not yet in the load that an agent reports.
 _REPORT_SLACK_S = 0.001
+# A reservation ends by itself, since the job that it is for can be cancelled.
+_RESERVATION_S = 5.0
 _DISTANCE_CHANGE = 0.2
 # Others' load at an agent that reports nothing is taken to halve in a run time within these.
 _FOREIGN_HALF_LIFE_S = (0.01, 1.0)
@@ -160,7 +162,7 @@
         """Return the agent for a task, None if it has to wait; `queued` tasks wait in all."""
         task = entry[4]
         if task.memory_mb or task.accelerators:
-            return self._pick_special(pool, task)
+            return self._pick_special(pool, task, job.buyer.name)
         if self._choices:
             return self._pick_by_chance(pool)
         best, full, best_cost = None, None, 0.0
@@ -189,15 +191,38 @@
         agent = next(iter(group.buckets[group.lowest]))
         return agent.mean_ms() * (group.lowest + 1) / _groups.LEVELS_PER_SLOTS
 
-    def _pick_special(self, pool: _groups.Pool, task: _work.Task) -> _groups.Agent | None:
+    def _pick_special(
+        self, pool: _groups.Pool, task: _work.Task, buyer: str
+    ) -> _groups.Agent | None:
         for group in pool.groups:
             if group.lowest is None or not _groups.fits(group, task):
                 continue
-            agent = group.find(task.memory_mb, task.accelerators)
+            agent = group.find(task, buyer, self.now)
             if agent is not None:
+                if agent.reserved_for == buyer:
+                    agent.reserved_until = 0.0
                 return agent
         return None
 
+    def reserve(self, pool: _groups.Pool, task: _work.Task, buyer: str) -> None:
+        """Keep one agent's memory and accelerators for a buyer whose task waits long for them.
+
+        Otherwise tasks that need less could take what is set free, time and again.
+        """
+        best, best_used = None, (0, 0)
+        for group in pool.groups:
+            for agent in group.members if _groups.fits(group, task) else ():
+                reserved = agent.reserved_until > self.now
+                if reserved and agent.reserved_for == buyer:
+                    best = agent
+                    break
+                used = (agent.accelerators_used, agent.memory_used)
+                if agent.share and not reserved and (best is None or used < best_used):
+                    best, best_used = agent, used
+        if best is not None:
+            best.reserved_for = buyer
+            best.reserved_until = self.now + _RESERVATION_S
+
     def _pick_by_chance(self, pool: _groups.Pool) -> _groups.Agent | None:
         best, best_cost = None, 0.0
         for _ in range(self._choices):
--- a/src/daisyfall/request/_scheduler.py
+++ b/src/daisyfall/request/_scheduler.py
@@ -6,6 +6,9 @@
 
 from daisyfall.request import _flight, _groups, _limits, _queue, _retries, _routing, _work
 
+# A task that waits this long for memory or accelerators gets an agent's kept for it.
+_RESERVE_AFTER_S = 0.2
+
 
 @attrs.define(slots=True, eq=False)
 class Assignment:
@@ -87,9 +90,10 @@
                 pool.passed.append(buyer)
                 return
             if agent is None:
-                self._flight.wait_for_resource(buyer, lane)
+                self._wait_for_resource(pool, buyer, lane, now)
                 continue
             room = min(room, router.room(agent, entry[0])) if plain else 1
+            lane.waits_since = None
             self._start(agent, part.job, queue.take(lane, room), now, batches)
         queue.offer(buyer)
 
@@ -115,6 +119,15 @@
         else:
             batch.tasks.extend(tasks)
 
+    def _wait_for_resource(
+        self, pool: _groups.Pool, buyer: _queue.Buyer, lane: _queue.Lane, now: float
+    ) -> None:
+        if lane.waits_since is None:
+            lane.waits_since = now
+        elif now - lane.waits_since >= _RESERVE_AFTER_S:
+            self._router.reserve(pool, lane.heap[0][2].entries[-1][4], buyer.name)
+        self._flight.wait_for_resource(buyer, lane)
+
     def _block(self, buyer: _queue.Buyer, limit: _limits.Limit) -> None:
         buyer.blocked = limit
         if limit is _limits.Limit.RATE:
--- a/src/daisyfall_standins/policy_model.py
+++ b/src/daisyfall_standins/policy_model.py
@@ -1,7 +1,4 @@
-"""Compare the routing policies of the dispatcher over a small event loop in virtual time.
-
-It models the decisions, a one-way delay, and slots that run tasks in order of arrival.
-"""
+"""Compare the dispatcher's policies in virtual time: decisions, a one-way delay, and slots."""
 
 import heapq
 import itertools
@@ -21,8 +18,6 @@
 SCENARIOS = ("steady", "burst", "straggler", "failing")
 KIND_S = {f"kind{number}": 0.05 * 1.35**number for number in range(10)}
 
-MEAN_TASK_S = sum(KIND_S.values()) / len(KIND_S)
-
 
 @attrs.define(eq=False)
 class _Runner:
@@ -45,6 +40,7 @@
     """Jobs arrive, the dispatcher assigns, runners run and report, in virtual time."""
 
     def __init__(self, settings, seed: int, load: float, scenario: str, largest: int) -> None:
+        self.scenario, self.largest = scenario, largest
         self.rng, rng = random.Random(seed), random.Random(seed)
         self.dispatcher = _dispatcher.Dispatcher(settings, _settings.JobSettings(), "dc0", rng)
         buyers = {name: _lists.Buyer(name, "plan", "", "") for name in BUYERS}
@@ -52,11 +48,12 @@
         self.dispatcher.activated(0, -10.0)
         self.runners = [_Runner(str(number)) for number in range(AGENTS)]
         for number in range(AGENTS):
-            place = {"data_centre": f"dc{number % 4}", "rack": f"r{number // 3}", "slots": SLOTS}
-            state = _dispatcher.Upstream(str(number), "1", distance_ms=DELAY_S * 1000, **place)
-            self.dispatcher.update_upstream(state, 0.0)
-        self.job_rate = load * AGENTS * SLOTS / (MEAN_TASK_S * (1 + largest) / 2)
-        self.scenario, self.largest = scenario, largest
+            state = _dispatcher.Upstream(
+                str(number), "1", f"dc{number % 4}", f"r{number // 3}", SLOTS
+            )
+            self.dispatcher.update_upstream(attrs.evolve(state, distance_ms=DELAY_S * 1000), 0.0)
+        job_s = sum(KIND_S.values()) / len(KIND_S) * (1 + largest) / 2
+        self.job_rate = load * AGENTS * SLOTS / job_s
         self.events, self.order, self.jobs, self.ratios = [], itertools.count(), {}, []
         self.now, self.wakeup, self.failed, self.refused = 0.0, float("inf"), 0, 0
 
@@ -66,10 +63,9 @@
     def run(self, seconds: float) -> None:
         """Run the scenario, whose fault begins after a quarter, and let all jobs end."""
         self._after(0.0, self._arrive, seconds)
-        fault = {"straggler": ("slow", 10.0), "failing": ("fails", True)}.get(self.scenario)
-        if fault:
+        if fault := {"straggler": ("slow", 10.0), "failing": ("fails", True)}.get(self.scenario):
             self._after(seconds / 4, setattr, self.runners[3], *fault)
-        for _ in range(400 // self.largest if self.scenario == "burst" else 0):
+        for _ in range(400 // self.largest * (self.scenario == "burst")):
             self._after(seconds / 4, self._submit, BUYERS[0])
         while self.events:
             self.now, _, call, args = heapq.heappop(self.events)
@@ -97,14 +93,13 @@
 
     def _assign(self) -> None:
         for each in self.dispatcher.assign(self.now):
-            runner = self.runners[int(each.agent_id)]
             items = [(each.work.key, task.index) for task in each.tasks]
-            self._after(DELAY_S, self._receive, runner, items)
+            self._after(DELAY_S, self._receive, self.runners[int(each.agent_id)], items)
         for key in self.dispatcher.expired(self.now):
             self._fail(key)
-        wakeup = self.dispatcher.next_wakeup(self.now)
-        if wakeup is not None and not self.now < self.wakeup <= wakeup:
-            self.wakeup = max(wakeup, self.now + 1e-4)
+        due = self.dispatcher.next_wakeup(self.now)
+        if due is not None and not self.now < self.wakeup <= due:
+            self.wakeup = max(due, self.now + 1e-4)
             self._after(self.wakeup - self.now, int)
 
     def _fail(self, key) -> None:
@@ -118,8 +113,8 @@
             key, index = runner.waiting.pop(0)
             job = self.jobs.get(key)
             seconds = 0.001 if runner.fails or not job else job.times[index] * runner.slow
-            outcome = _wire.FAILED if runner.fails else _wire.DONE
-            self._after(seconds, self._end, runner, (key, index, outcome, seconds * 1000.0))
+            result = (key, index, _wire.FAILED if runner.fails else _wire.DONE, seconds * 1000.0)
+            self._after(seconds, self._end, runner, result)
 
     def _end(self, runner: _Runner, result: tuple) -> None:
         runner.free += 1
@@ -130,13 +125,12 @@
     def _report(self, result: tuple, load: tuple[str, int, int]) -> None:
         self.dispatcher.finished(*result, self.now)
         self.dispatcher.update_load(*load, self.now)
-        key = result[0]
         if result[2] == _wire.FAILED:
-            self._fail(key)
-        elif job := self.jobs.get(key):
+            self._fail(result[0])
+        elif job := self.jobs.get(result[0]):
             job.ended += 1
-            if job.ended == len(job.times):
-                self.ratios.append((self.now - job.arrived) / self.jobs.pop(key).ideal)
+            if job.ended == len(job.times) and self.jobs.pop(result[0]):
+                self.ratios.append((self.now - job.arrived) / job.ideal)
 
 
 def compare(*, load=0.7, seeds=3, largest=20, job_order="fifo", policies=_routing.POLICIES) -> None:
