--- a/features/dispatch_faults.feature
+++ b/features/dispatch_faults.feature
@@ -7,7 +7,8 @@
     And the dispatcher has learnt that kind "label" takes 100 ms
 
   Scenario Outline: a fault of one runner takes it out, and nothing else does
-    When the dispatcher runs 60 jobs of 4 tasks while <fault>
+    When the dispatcher runs 60 jobs of 4 tasks while no runner is at fault
+    And the dispatcher runs 60 jobs of 4 tasks while <fault>
     Then the dispatcher has taken out "<out>" as "<reason>"
     And the dispatcher recalls the queued work of "<recalled>"
 
--- a/features/dispatch_limits.feature
+++ b/features/dispatch_limits.feature
@@ -30,6 +30,7 @@
 
   Scenario: a new owner starts with an empty rate bucket, so that a handover adds no starts
     Given the dispatcher gives "caro" the limit starts_per_second 10
+    And the dispatcher has 1 tasks of "caro" ahead
     And the dispatcher has taken over the shard
     When the dispatcher admits a job "c1" of "caro" with 12 tasks
     Then the dispatcher has sent 0 tasks of "c1"
@@ -96,7 +97,7 @@
     Then the dispatcher answers "impossible"
 
   Scenario: a plain job passes one that waits for accelerators, and an accelerator job does not
-    Given the dispatcher gives "ana" the limit accelerators 2
+    Given the dispatcher gives "ana" the limit accelerators 3
     When the dispatcher admits a job "a1" of "ana" with 3 tasks that need 2 accelerators
     And the dispatcher admits a job "a2" of "ana" with 2 tasks that need 1 accelerators
     And the dispatcher admits a job "a3" of "ana" with 5 tasks
