--- a/features/dispatch_faults.feature
+++ b/features/dispatch_faults.feature
@@ -42,6 +42,11 @@
     Then the dispatcher has taken out "agent2" as "flapping"
     And the dispatcher sends no task to "agent2" within 4000 ms
 
+  Scenario: an upstream that is listed after its first report is not taken for a returning one
+    Given the dispatcher hears of a new agent "agent6" with 8 slots that is usable later
+    When the dispatcher admits a job "a1" of "ana" with 32 tasks
+    Then the dispatcher has sent 8 tasks to "agent6"
+
   Scenario: a task that did not start is sent again after a growing backoff, within the budget
     When the dispatcher admits a job "a1" of "ana" with 1 tasks
     Then the dispatcher sends a refused task again after 10 to 30, 20 to 60 and 40 to 120 ms
--- a/features/steps/dispatch_fault_steps.py
+++ b/features/steps/dispatch_fault_steps.py
@@ -4,7 +4,7 @@
 import re
 
 import dispatch_bench
-from behave import then, when
+from behave import given, then, when
 
 from daisyfall import _wire
 
@@ -74,6 +74,18 @@
     }
 
 
+@given('the dispatcher hears of a new agent "{agent}" with {slots:d} slots that is usable later')
+def add_later(context, agent, slots):
+    for usable in (False, True):
+        context.bench.add_upstream(agent, slots=slots, usable=usable)
+
+
+@then('the dispatcher has sent {count:d} tasks to "{agent}"')
+def check_sent_to(context, count, agent):
+    sent = sum(1 for each, _, _ in context.bench.sent if each == agent)
+    assert sent == count, f"sent {sent} tasks to {agent}, expected {count}"
+
+
 @when("the dispatcher runs {jobs:d} jobs of {size:d} tasks while {fault}")
 def run_jobs(context, *, jobs, size, fault):
     run(context.bench, jobs, size, fault)
--- a/src/daisyfall/request/_health.py
+++ b/src/daisyfall/request/_health.py
@@ -67,6 +67,7 @@
         lambda: collections.deque(maxlen=_OUT_JOBS)
     )
     left_at: float | None = None
+    was_usable: bool = False
 
 
 class Health:
@@ -99,7 +100,9 @@
         self._slowness_sum += evidence.slowness
         if evidence.left_at is not None:
             evidence.left_at = None
-            self._come_back(agent, now)
+            if evidence.was_usable:
+                self._come_back(agent, now)
+        evidence.was_usable |= agent.upstream.usable
 
     def _forget_oldest(self) -> None:
         for agent_id, evidence in self.evidence_by_id.items():
@@ -133,9 +136,11 @@
             evidence.removals = 0
 
     def set_usable(self, agent: _groups.Agent, usable: bool, now: float) -> None:
-        """Follow an agent that becomes usable again."""
-        if usable and not agent.upstream.usable and agent.evidence is not None:
+        """Follow an agent that becomes usable; the first time is not a return."""
+        evidence = agent.evidence
+        if usable and evidence.was_usable and not agent.upstream.usable:
             self._come_back(agent, now)
+        evidence.was_usable |= usable
 
     def share(self, agent: _groups.Agent) -> int:
         """Return the number of slots that an agent may use."""
