--- a/features/dispatch_limits.feature
+++ b/features/dispatch_limits.feature
@@ -30,6 +30,7 @@
 
   Scenario: a new owner starts with an empty rate bucket, so that a handover adds no starts
     Given the dispatcher gives "caro" the limit starts_per_second 10
+    And the dispatcher has 1 tasks of "caro" ahead
     And the dispatcher has taken over the shard
     When the dispatcher admits a job "c1" of "caro" with 12 tasks
     Then the dispatcher has sent 0 tasks of "c1"
@@ -96,7 +97,7 @@
     Then the dispatcher answers "impossible"
 
   Scenario: a plain job passes one that waits for accelerators, and an accelerator job does not
-    Given the dispatcher gives "ana" the limit accelerators 2
+    Given the dispatcher gives "ana" the limit accelerators 3
     When the dispatcher admits a job "a1" of "ana" with 3 tasks that need 2 accelerators
     And the dispatcher admits a job "a2" of "ana" with 2 tasks that need 1 accelerators
     And the dispatcher admits a job "a3" of "ana" with 5 tasks
@@ -108,3 +109,10 @@
     When the dispatcher admits a job "a1" of "ana" with 20 tasks that have 500 ms
     And 600 ms pass for the dispatcher
     Then the dispatcher says that "a1" of "ana" expired, with 8 tasks unsent and 12 sent
+
+  Scenario: small tasks of others don't keep a large one from memory for ever
+    Given the dispatcher has 1 agents with 4 slots
+    When the dispatcher admits a job "b1" of "bela" with 60 tasks that need 20000 MB
+    And the dispatcher admits a job "a1" of "ana" with 1 tasks that need 60000 MB
+    And the dispatcher hears that 30 tasks are done, 50 ms apart
+    Then the dispatcher has sent 1 tasks of "a1"
