--- a/src/daisyfall_standins/cluster.py
+++ b/src/daisyfall_standins/cluster.py
@@ -194,7 +194,13 @@
     return {tuple(sample.labels.values()): sample.value for sample in samples}
 
 
-def call(method: str, url: str, body: Any = None, token: str = "") -> tuple[int, dict]:
+def call(
+    method: str,
+    url: str,
+    body: Any = None,
+    token: str = "",
+    timeout_seconds: float = _CALL_TIMEOUT_SECONDS,
+) -> tuple[int, dict]:
     """Make one HTTP request with a JSON body; return the status and the JSON answer."""
     headers = {"Content-Type": "application/json"}
     if token:
@@ -202,7 +208,7 @@
     data = None if body is None else json.dumps(body).encode()
     request = urllib.request.Request(url, data=data, headers=headers, method=method)
     try:
-        with urllib.request.urlopen(request, timeout=_CALL_TIMEOUT_SECONDS) as reply:
+        with urllib.request.urlopen(request, timeout=timeout_seconds) as reply:
             return reply.status, json.loads(reply.read())
     except urllib.error.HTTPError as error:
         return error.code, _parse(error.read())
--- a/src/daisyfall_standins/processes.py
+++ b/src/daisyfall_standins/processes.py
@@ -57,6 +57,7 @@
     log: pathlib.Path
     popen: subprocess.Popen
     peer: str = ""  # entry: host:port for agents and other entries
+    command: list[str] = attrs.Factory(list)  # arguments of `python -m`
 
     @property
     def pid(self) -> int:
@@ -166,10 +167,16 @@
             popen = subprocess.Popen(
                 [sys.executable, "-m", *command], stdout=output, stderr=subprocess.STDOUT
             )
-        process = Process(name, url, log, popen, peer)
+        process = Process(name, url, log, popen, peer, command)
         self.process_by_name[name] = process
         return process
 
+    def restart(self, process: Process) -> None:
+        """Start an ended process again with the same settings and addresses."""
+        started = self.start(process.name, process.command, process.url, process.peer)
+        process.popen = started.popen
+        self.process_by_name[process.name] = process
+
     def start_table(self, name: str = "table", port: int = 0, **options) -> Process:
         """Start the table; `options` are those of `daisyfall-standin table`."""
         return self._start_stand_in("table", name, port or free_port(), options)
