--- a/src/daisyfall/request/_owner.py
+++ b/src/daisyfall/request/_owner.py
@@ -45,6 +45,7 @@
             jobs.retention_ms + jobs.clock_skew_ms, jobs.answer_memory_mb * 1024 * 1024
         )
         self.reports = _reports.Reports()
+        self.draining = False  # no other entry can take the shards over: finish, admit nothing
         delivery.bind(self)
 
     # Submissions.
@@ -62,6 +63,8 @@
         known = self._find(submission)
         if known is not None:
             return known
+        if self.draining:
+            raise errors.DispatchError(errors.Kind.STOPPING)
         limits = self._settings.jobs
         _submission.check_id_time(
             submission.id_time_ms, _clock.wall_ms(), limits.retention_ms, limits.clock_skew_ms
@@ -157,6 +160,7 @@
         job = self.jobs.job_by_key.get(key)
         if job is not None:
             job.sent = True
+            self._metrics.queued_for(_clock.monotonic() - job.submitted_at)
 
     def task_result(
         self, agent_id: str, key: _work.Key, index: int, *, outcome: int, value, run_ms: float
