--- a/features/fault_world.py
+++ b/features/fault_world.py
@@ -353,6 +353,10 @@
         states = [self.status(a) for a in self.cluster.agents if a.popen.poll() is None]
         return all(state.get("running") == state.get("queued") == 0 for state in states)
 
+    def entry_logs(self) -> str:
+        """Return the ends of the entries' logs, for a message."""
+        return "\n".join(f"{each.name}:\n{each.tail()}" for each in self.cluster.entries)
+
     def describe(self) -> list:
         """Return what is left at each process, for a message."""
         found = [
--- a/features/steps/faults_steps.py
+++ b/features/steps/faults_steps.py
@@ -161,7 +161,8 @@
 def check_load_complete(context):
     records = context.world.end_load()
     bad = [each for each in records if each.outcome.value != "complete"]
-    assert records and not bad, f"{len(bad)} of {len(records)}: {bad[:3]}"
+    logs = context.world.entry_logs() if bad else ""
+    assert records and not bad, f"{len(bad)} of {len(records)}: {bad[:3]}\n{logs}"
 
 
 @then("the cluster completes every job of the load without a broken connection")
