--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -6,7 +6,7 @@
 from behave import given, step, then, when
 
 from daisyfall import _ids
-from daisyfall.process import _ownership
+from daisyfall.process import _agent_rows, _ownership
 
 LEASE = 2.0
 MARGIN = 0.2
@@ -178,13 +178,13 @@
 
 @given("the ownership agent row was superseded at {at_ms:d} ms")
 def supersede(context, at_ms):
-    old = _ownership.AgentRecord("x", "old")
+    old = _agent_rows.AgentRecord("x", "old")
     context.agent_row = old.superseded_by("new", at_ms, 600)
 
 
 @then("the ownership listed incarnations at {now:d} ms with retention {keep:d} ms are {expected}")
 def check_listed(context, now, keep, expected):
-    found = _ownership.listed_incarnations([context.agent_row], now, keep)
+    found = _agent_rows.listed_incarnations([context.agent_row], now, keep)
     assert found == {("x", each) for each in expected.split(",")}, found
 
 
--- a/src/daisyfall/process/_ownership.py
+++ b/src/daisyfall/process/_ownership.py
@@ -192,6 +192,11 @@
         first = self._first_seen_by_holder.get((entry.id, entry.incarnation), now)
         return now - first >= REBALANCE_AFTER_SECONDS
 
+    def preferred(self, shard: int) -> str:
+        """Return the active entry that the hash names, silent or not; empty for none."""
+        active = [each.id for each in self.entry_by_id.values() if each.state == ACTIVE]
+        return _ids.rendezvous_winner(str(shard), active) if active else ""
+
     def owner_of(self, shard: int) -> ShardRecord | None:
         """Return the shard's row if it names an owner."""
         record = self.shard_by_number.get(shard)
@@ -349,46 +354,25 @@
     highest_seen_epoch: int = 0
 
 
-@attrs.frozen
-class AgentRecord:
-    """Row of one agent: the listed incarnation and the superseded ones, `[[id, at_ms], ...]`."""
-
-    id: str
-    incarnation: str
-    earlier: tuple[tuple[str, int], ...] = ()
-    row_version: int = attrs.field(default=0, eq=False)
-
-    def superseded_by(self, incarnation: str, at_ms: int, retention_ms: int) -> "AgentRecord":
-        """Return the record after a restart of the agent; forget what is past the retention."""
-        kept = [each for each in self.earlier if each[1] > at_ms - retention_ms]
-        if self.incarnation and self.incarnation != incarnation:
-            kept.append((self.incarnation, at_ms))
-        return AgentRecord(self.id, incarnation, tuple(kept), self.row_version)
+def plan_higher_epochs(
+    view: View, holding_by_shard: dict[int, Holding], mine: Holder
+) -> list[Acquire]:
+    """Return the own shards to take again at a higher epoch.
 
-    def as_value(self) -> dict:
-        """Return the row's value."""
-        return {
-            "id": self.id,
-            "incarnation": self.incarnation,
-            "earlier": [list(each) for each in self.earlier],
-        }
-
-
-def agent_record(value: dict, row_version: int) -> AgentRecord:
-    """Return the record of an agent's row."""
-    earlier = tuple((incarnation, at_ms) for incarnation, at_ms in value["earlier"])
-    return AgentRecord(value["id"], value["incarnation"], earlier, row_version)
-
-
-def listed_incarnations(records: list[AgentRecord], now_ms: int, retention_ms: int) -> set[Holder]:
-    """Return every (agent, incarnation) that may hold starts of jobs within the retention."""
-    listed = set()
-    for record in records:
-        listed.add((record.id, record.incarnation))
-        for incarnation, superseded_ms in record.earlier:
-            if superseded_ms > now_ms - retention_ms:
-                listed.add((record.id, incarnation))
-    return listed
+    These are shards of which an agent has seen a higher epoch, and shards that were
+    given up while their rows still name this incarnation: their jobs were forgotten,
+    so the agents have to be asked, and a release in doubt must not take effect later.
+    """
+    plan = [
+        Acquire(each.shard, each.highest_seen_epoch + 1, each.row_version, forced=False)
+        for each in holding_by_shard.values()
+        if each.suspended
+    ]
+    return plan + [
+        Acquire(each.shard, each.epoch + 1, each.row_version, forced=False)
+        for each in view.shard_by_number.values()
+        if (each.owner, each.owner_incarnation) == mine and each.shard not in holding_by_shard
+    ]
 
 
 def may_start_unreported(holding: Holding, id_time_ms: int) -> bool:
--- a/src/daisyfall/process/_registry.py
+++ b/src/daisyfall/process/_registry.py
@@ -13,7 +13,14 @@
 from loguru import logger
 
 from daisyfall import _clock
-from daisyfall.process import _agent_rows, _membership, _ownership, _settings, _table
+from daisyfall.process import (
+    _agent_rows,
+    _membership,
+    _ownership,
+    _ownership_rows,
+    _settings,
+    _table,
+)
 
 # Share of the lease that may pass without a renewal before peers are asked.
 PROMISE_SHARE = 0.5
@@ -169,16 +176,7 @@
     async def _poll(self) -> None:
         rows = await self._table.read(SNAPSHOT_KEYS, SNAPSHOT_PREFIXES)
         now = _clock.monotonic()
-        entries = [
-            _ownership.entry_record(row.value, row.version)
-            for key, row in rows.items()
-            if key.startswith(_ownership.ENTRY_PREFIX)
-        ]
-        shards = [
-            _ownership.shard_record(row.value, row.version)
-            for key, row in rows.items()
-            if key.startswith(_ownership.SHARD_PREFIX)
-        ]
+        entries, shards = _ownership_rows.parse(rows)
         self.view.observe(entries, shards, now)
         self._follow_rows()
         self._events.on_snapshot(rows)
@@ -325,24 +323,12 @@
     async def _take(
         self, shards: list[_ownership.Acquire], previous: _ownership.EntryRecord | None
     ) -> None:
-        checks, writes, records = [], [], []
-        for each in shards:
-            key = f"{_ownership.SHARD_PREFIX}{each.shard}"
-            record = _ownership.ShardRecord(
-                each.shard,
-                each.epoch,
-                self.record.id,
-                self.record.incarnation,
-                _clock.wall_ms(),
-            )
-            records.append(record)
-            checks.append(_table.Check(key, each.row_version))
-            writes.append(_table.Write(key, record.as_value()))
-        if previous is not None and previous.state != _ownership.FENCED:
-            key = _ownership.ENTRY_PREFIX + previous.id
-            fenced = attrs.evolve(previous, state=_ownership.FENCED)
-            checks.append(_table.Check(key, previous.row_version))
-            writes.append(_table.Write(key, fenced.as_value()))
+        mine, at_ms = self.holder, _clock.wall_ms()
+        records = [
+            _ownership.ShardRecord(each.shard, each.epoch, *mine, at_ms, each.row_version)
+            for each in shards
+        ]
+        checks, writes = _ownership_rows.take(records, previous)
         try:
             versions = await self._table.transact(checks, writes)
         except _table.ConflictError:
@@ -365,13 +351,8 @@
 
     async def release(self, shards: list[int]) -> None:
         """Stop using the shards and write their rows without an owner (rule 9)."""
-        checks, writes = [], []
-        for shard in shards:
-            holding = self._drop(shard)
-            key = f"{_ownership.SHARD_PREFIX}{shard}"
-            record = _ownership.ShardRecord(shard, holding.epoch, "", "", _clock.wall_ms())
-            checks.append(_table.Check(key, holding.row_version))
-            writes.append(_table.Write(key, record.as_value()))
+        holdings = [self._drop(shard) for shard in shards]
+        checks, writes = _ownership_rows.release(holdings, _clock.wall_ms())
         logger.bind(shards=len(shards)).info("shards released")
         try:
             await self._table.transact(checks, writes)
@@ -382,25 +363,7 @@
         self.calls.announce_release()
 
     async def _raise_epochs(self) -> None:
-        """Take own shards again at a higher epoch after an agent has seen one.
-
-        The same holds for shards that were given up while their rows still name this
-        incarnation: the jobs were forgotten, so the agents have to be asked, and a
-        release whose reply was lost must not take effect later.
-        """
-        plan = [
-            _ownership.Acquire(
-                each.shard, each.highest_seen_epoch + 1, each.row_version, forced=False
-            )
-            for each in self.holding_by_shard.values()
-            if each.suspended
-        ]
-        plan += [
-            _ownership.Acquire(each.shard, each.epoch + 1, each.row_version, forced=False)
-            for each in self.view.shard_by_number.values()
-            if (each.owner, each.owner_incarnation) == self.holder
-            and each.shard not in self.holding_by_shard
-        ]
+        plan = _ownership.plan_higher_epochs(self.view, self.holding_by_shard, self.holder)
         if plan and self._may_take():
             await self._take(plan, None)
 
--- a/src/daisyfall/request/_flight.py
+++ b/src/daisyfall/request/_flight.py
@@ -76,8 +76,9 @@
         agent, entry = self.release(job, index)
         record = self._estimates.record(job.key[0], entry[4].kind)
         if outcome in (_wire.DONE, _wire.EVICTED):
-            ratio = _health.ratio(record, run_ms)
-            self._estimates.learn(record, run_ms)
+            declared_ms = entry[4].run_ms
+            ratio = _health.ratio(record, run_ms, declared_ms)
+            self._estimates.learn(record, run_ms, declared_ms)
             job.done += 1
             if self._health.done(agent, job.key, ratio, now):
                 self.changed_shares.add(agent)
@@ -97,12 +98,6 @@
         self._health.hold(agent, _health.REFUSED_HOLD_S, now)
         self.changed_shares.add(agent)
 
-    def abandon(self, job: _queue.Job) -> None:
-        """Stop counting all tasks of a job whose reports go to another entry."""
-        for index in list(job.sent):
-            self.release(job, index)
-        self.forget_if_idle(job)
-
     def release_agent(self, agent: _groups.Agent) -> list[tuple[_work.Key, int]]:
         """Stop counting all tasks at an agent that was removed; return them."""
         outstanding = []
