--- a/src/daisyfall/process/_ownership.py
+++ b/src/daisyfall/process/_ownership.py
@@ -353,6 +353,11 @@
     suspended: bool = False  # an agent has seen a higher epoch
     highest_seen_epoch: int = 0
 
+    def suspend(self, seen_epoch: int) -> None:
+        """Note that an agent has seen a higher epoch."""
+        self.suspended = True
+        self.highest_seen_epoch = max(self.highest_seen_epoch, seen_epoch)
+
 
 def plan_higher_epochs(
     view: View, holding_by_shard: dict[int, Holding], mine: Holder
--- a/src/daisyfall/request/_delivery.py
+++ b/src/daisyfall/request/_delivery.py
@@ -327,8 +327,7 @@
         key = (message.buyer, message.job_id)
         holding = self._registry.holding_by_shard.get(message.shard)
         if holding is not None and message.seen_epoch > holding.epoch:
-            holding.suspended = True
-            holding.highest_seen_epoch = max(holding.highest_seen_epoch, message.seen_epoch)
+            holding.suspend(message.seen_epoch)
             self._registry.poke()
         for index in message.indices:
             self._take_not_started(session, key, index, message.reason)
@@ -346,8 +345,7 @@
                 # The answer to a fence that precedes a takeover.
                 self.fence_answered(session, report.shard, report.epoch)
             if holding is not None and report.epoch > holding.epoch:
-                holding.suspended = True
-                holding.highest_seen_epoch = max(holding.highest_seen_epoch, report.epoch)
+                holding.suspend(report.epoch)
                 self._registry.poke()
             return
         waiting = self._reconciling_by_agent.get(session.agent_id, {})
