--- a/features/schedule_agent.py
+++ b/features/schedule_agent.py
@@ -137,7 +137,11 @@
         self.session_by_entry = {}
         self.ledger = _ledger.Ledger(self.incarnation, RETENTION_SECONDS, 1 << 20)
         self.executor = _executor.Executor(
-            self.ledger, Nothing(), self._link_of, lambda: "" if self.listed else "not listed"
+            self.ledger,
+            Nothing(),
+            self._link_of,
+            lambda: "" if self.listed else "not listed",
+            lambda *_: None,
         )
         capacity = _task_queue.Capacity(SLOTS, SLOTS, 65536, 0)
         self.executor.use(_Runner(self), capacity)
--- a/src/daisyfall/process/_registry.py
+++ b/src/daisyfall/process/_registry.py
@@ -15,6 +15,7 @@
 from daisyfall import _clock
 from daisyfall.process import (
     _agent_rows,
+    _layout,
     _membership,
     _ownership,
     _ownership_rows,
@@ -87,6 +88,7 @@
         # Epochs at which this incarnation has given shards up.
         self._given_up_by_shard: dict[int, int] = {}
         self.table_reachable = False
+        self._layout_checked = False
         self._poke = asyncio.Event()
         self._activations: set[asyncio.Task] = set()
 
@@ -122,6 +124,8 @@
             self._poke.clear()
             try:
                 await self._tick()
+            except _layout.LayoutError:
+                raise
             except Exception:
                 # Without renewals the lease lapses by itself; the loop has to go on.
                 logger.exception("renewal failed unexpectedly")
@@ -151,6 +155,9 @@
 
     async def _tick(self) -> None:
         try:
+            if not self._layout_checked:
+                await _layout.check(self._table, self._settings.jobs.shard_count)
+                self._layout_checked = True
             if self.membership.renewal_due(_clock.monotonic()):
                 await self.membership.renew()
             await self._poll()
