--- a/src/daisyfall/process/_registry.py
+++ b/src/daisyfall/process/_registry.py
@@ -13,7 +13,15 @@
 from loguru import logger
 
 from daisyfall import _clock
-from daisyfall.process import _agent_rows, _layout, _membership, _ownership, _settings, _table
+from daisyfall.process import (
+    _agent_rows,
+    _layout,
+    _membership,
+    _ownership,
+    _ownership_rows,
+    _settings,
+    _table,
+)
 
 # Share of the lease that may pass without a renewal before peers are asked.
 PROMISE_SHARE = 0.5
@@ -77,6 +85,8 @@
         self.promises = self.membership.promises
         self.agent_rows = _agent_rows.AgentRows(table, settings.jobs)
         self.holding_by_shard: dict[int, _ownership.Holding] = {}
+        # Epochs at which this incarnation has given shards up.
+        self._given_up_by_shard: dict[int, int] = {}
         self.table_reachable = False
         self._layout_checked = False
         self._poke = asyncio.Event()
@@ -173,16 +183,7 @@
     async def _poll(self) -> None:
         rows = await self._table.read(SNAPSHOT_KEYS, SNAPSHOT_PREFIXES)
         now = _clock.monotonic()
-        entries = [
-            _ownership.entry_record(row.value, row.version)
-            for key, row in rows.items()
-            if key.startswith(_ownership.ENTRY_PREFIX)
-        ]
-        shards = [
-            _ownership.shard_record(row.value, row.version)
-            for key, row in rows.items()
-            if key.startswith(_ownership.SHARD_PREFIX)
-        ]
+        entries, shards = _ownership_rows.parse(rows)
         self.view.observe(entries, shards, now)
         self._follow_rows()
         self._events.on_snapshot(rows)
@@ -199,6 +200,8 @@
         for shard, record in self.view.shard_by_number.items():
             holding = self.holding_by_shard.get(shard)
             if (record.owner, record.owner_incarnation) == mine:
+                if holding is None and self._given_up_by_shard.get(shard) == record.epoch:
+                    continue  # taken again at a higher epoch
                 if holding is None or holding.epoch < record.epoch:
                     taken.append(record)
                 elif holding.epoch == record.epoch:
@@ -212,9 +215,14 @@
 
     def _lose(self, shards: list[int]) -> None:
         for shard in shards:
-            self.holding_by_shard.pop(shard, None)
+            self._drop(shard)
         self._events.on_lost(shards)
 
+    def _drop(self, shard: int) -> _ownership.Holding:
+        holding = self.holding_by_shard.pop(shard)
+        self._given_up_by_shard[shard] = holding.epoch
+        return holding
+
     def _activate(self, records: list[_ownership.ShardRecord]) -> None:
         fenced = []
         for record in records:
@@ -256,8 +264,12 @@
                 self._set_reachable(False, str(error))
                 await asyncio.sleep(self._settings.lease.poll_ms / 1000)
 
+    def _may_take(self) -> bool:
+        active = self.record.state == _ownership.ACTIVE
+        return active and self.lease.valid(_clock.monotonic())
+
     async def _acquire(self, now: float) -> None:
-        if self.record.state != _ownership.ACTIVE or not self.lease.valid(now):
+        if not self._may_take():
             return
         plan = _ownership.plan_acquisitions(
             self.view,
@@ -318,24 +330,12 @@
     async def _take(
         self, shards: list[_ownership.Acquire], previous: _ownership.EntryRecord | None
     ) -> None:
-        checks, writes, records = [], [], []
-        for each in shards:
-            key = f"{_ownership.SHARD_PREFIX}{each.shard}"
-            record = _ownership.ShardRecord(
-                each.shard,
-                each.epoch,
-                self.record.id,
-                self.record.incarnation,
-                _clock.wall_ms(),
-            )
-            records.append(record)
-            checks.append(_table.Check(key, each.row_version))
-            writes.append(_table.Write(key, record.as_value()))
-        if previous is not None and previous.state != _ownership.FENCED:
-            key = _ownership.ENTRY_PREFIX + previous.id
-            fenced = attrs.evolve(previous, state=_ownership.FENCED)
-            checks.append(_table.Check(key, previous.row_version))
-            writes.append(_table.Write(key, fenced.as_value()))
+        mine, at_ms = self.holder, _clock.wall_ms()
+        records = [
+            _ownership.ShardRecord(each.shard, each.epoch, *mine, at_ms, each.row_version)
+            for each in shards
+        ]
+        checks, writes = _ownership_rows.take(records, previous)
         try:
             versions = await self._table.transact(checks, writes)
         except _table.ConflictError:
@@ -349,7 +349,7 @@
         self._follow_rows()
 
     async def _rebalance(self, now: float) -> None:
-        if self.record.state != _ownership.ACTIVE or not self.lease.valid(now):
+        if not self._may_take():
             return
         held = [shard for shard, each in self.holding_by_shard.items() if each.active]
         plan = _ownership.plan_handovers(self.view, held, self.record.id, now)
@@ -358,13 +358,8 @@
 
     async def release(self, shards: list[int]) -> None:
         """Stop using the shards and write their rows without an owner (rule 9)."""
-        checks, writes = [], []
-        for shard in shards:
-            holding = self.holding_by_shard.pop(shard)
-            key = f"{_ownership.SHARD_PREFIX}{shard}"
-            record = _ownership.ShardRecord(shard, holding.epoch, "", "", _clock.wall_ms())
-            checks.append(_table.Check(key, holding.row_version))
-            writes.append(_table.Write(key, record.as_value()))
+        holdings = [self._drop(shard) for shard in shards]
+        checks, writes = _ownership_rows.release(holdings, _clock.wall_ms())
         logger.bind(shards=len(shards)).info("shards released")
         try:
             await self._table.transact(checks, writes)
@@ -375,15 +370,8 @@
         self.calls.announce_release()
 
     async def _raise_epochs(self) -> None:
-        """Take own shards again at a higher epoch after an agent has seen one."""
-        suspended = [each for each in self.holding_by_shard.values() if each.suspended]
-        plan = [
-            _ownership.Acquire(
-                each.shard, each.highest_seen_epoch + 1, each.row_version, forced=False
-            )
-            for each in suspended
-        ]
-        if plan:
+        plan = _ownership.plan_higher_epochs(self.view, self.holding_by_shard, self.holder)
+        if plan and self._may_take():
             await self._take(plan, None)
 
     async def _remove_silent(self, now: float) -> None:
--- a/src/daisyfall/request/_carrier.py
+++ b/src/daisyfall/request/_carrier.py
@@ -55,9 +55,15 @@
         shard = _ids.shard_of(buyer, self._shard_count)
         if self._registry.usable(shard, _clock.monotonic()) is not None:
             return Here()
-        record = self._registry.view.owner_of(shard)
-        if record is not None and record.owner != self._registry.record.id:
-            link = self._link_by_id.get(record.owner)
+        record = self._registry.view.shard_by_number.get(shard)
+        me = self._registry.record.id
+        owner = record.owner if record else ""
+        if record is not None and owner in ("", me):
+            # Released, or given up here: the entry that the hash names takes it, which an
+            # entry that is cut off from the table can't read. One that is no owner refuses.
+            owner = self._registry.view.preferred(shard)
+        if owner and owner != me:
+            link = self._link_by_id.get(owner)
             if link is not None and link.connected:
                 return There(link)
         return Nowhere()
@@ -76,6 +82,7 @@
         """
         deadline = _clock.monotonic() + submission.deadline_ms / 1000
         reached = False
+        refused_until = _clock.monotonic() + OWNER_WAIT_SECONDS
         while True:
             place = await self._find_owner(submission.buyer, deadline)
             left_ms = int((deadline - _clock.monotonic()) * 1000)
@@ -91,12 +98,17 @@
                         raise errors.DispatchError(kind)
             except (_peer_session.RelinquishedError, _peer_link.LinkLostError):
                 reached = True
+                refused_until = _clock.monotonic() + OWNER_WAIT_SECONDS
                 self._metrics.retried("owner_lost")
             except _peer_link.NotConnectedError:
                 self._metrics.retried("owner_not_connected")
             except errors.DispatchError as error:
                 if error.kind is not errors.Kind.NO_OWNER or isinstance(place, Nowhere):
                     raise
+                # An outdated row may name an entry that never becomes the owner again.
+                if _clock.monotonic() > min(refused_until, deadline):
+                    kind = errors.Kind.OUTCOME_UNKNOWN if reached else errors.Kind.NO_OWNER
+                    raise errors.DispatchError(kind) from error
                 self._metrics.retried("owner_moved")
             await asyncio.sleep(OWNER_POLL_SECONDS)
 
