--- /dev/null
+++ b/features/steps/measurement_steps.py
@@ -0,0 +1,204 @@
+"""Steps of the measurement tool's arithmetic, relay and callers."""
+
+import asyncio
+import contextlib
+import math
+
+import event_loop
+from behave import given, then, when
+
+from daisyfall_standins import _figures, link, load, processes
+
+BUYER = load.Buyer("roca", "secret")
+
+
+def read_points(text):
+    return [tuple(float(value) for value in pair.split(",")) for pair in text.split()]
+
+
+def new_record(outcome, response_ms=1.0, **changes):
+    record = load.Record("id", BUYER.name, ["token"], 100.0, response_ms=response_ms, **changes)
+    record.outcome = load.Outcome(outcome)
+    return record
+
+
+@when('the measurement fits a line through "{points}"')
+def fit_line(context, points):
+    context.fit = _figures.fit(read_points(points))
+
+
+@then(
+    "the measurement's line has slope {slope:g}, intercept {intercept:g} and residual {residual:g}"
+)
+def check_line(context, slope, intercept, residual):
+    found = (context.fit.slope, context.fit.intercept, context.fit.residual)
+    for value, expected in zip(found, (slope, intercept, residual), strict=True):
+        assert math.isclose(value, expected, abs_tol=1e-9), context.fit
+
+
+@then('the measurement refuses to fit a line through "{points}"')
+def check_refused(context, points):
+    try:
+        found = _figures.fit(read_points(points))
+    except ValueError as error:
+        assert "found 2" in str(error), error
+    else:
+        raise AssertionError(f"two points were fitted: {found}")
+
+
+@when("the measurement reads a counter as {before:g} and then as {after:g}")
+def read_counter(context, before, after):
+    context.growth = _figures.subtract({"forward": after}, {"forward": before})
+
+
+@then("the measurement counts a growth of {growth:g}")
+def check_growth(context, growth):
+    assert context.growth.get("forward", 0) == growth, context.growth
+
+
+@then('the measurement\'s longest gap between answers at "{times}" seconds is {gap:g} seconds')
+def check_gap(context, times, gap):
+    assert _figures.longest_gap([float(each) for each in times.split()]) == gap
+
+
+@then(
+    "the measurement's slowest resubmission of jobs broken at {broken:g} and ended at "
+    '"{times}" seconds is {slowest:g} seconds'
+)
+def check_resubmission(context, broken, times, slowest):
+    records = [new_record("complete", ended_seconds=50.0)]
+    records += [
+        new_record("complete", ended_seconds=float(each), first_broken_seconds=broken)
+        for each in times.split()
+    ]
+    assert _figures.slowest_resubmission(records) == slowest
+
+
+@when('the measurement sums up complete jobs of 100 ms that took "{times}" ms')
+def sum_up_complete(context, times):
+    context.records = [new_record("complete", float(each)) for each in times.split()]
+
+
+@when("the measurement sums up a failed job that took {time:g} ms")
+def sum_up_failed(context, time):
+    context.records.append(new_record("failed", time))
+
+
+@then("the measurement's response over ideal is {p50:g} at p50 and {most:g} at most")
+def check_ratios(context, p50, most):
+    found = _figures.ratios(context.records)
+    # The histogram keeps three digits.
+    assert math.isclose(found.p50, p50, rel_tol=0.002), found
+    assert math.isclose(found.max, most, rel_tol=0.002), found
+
+
+@when("the measurement has a job recorded as {outcome:w} whose task started {starts:d} times")
+def record_job(context, outcome, starts):
+    refused = int(outcome == "refused")
+    context.records = [new_record(outcome, refused=refused, attempts=1)]
+    context.starts = {"token": starts} if starts else {}
+
+
+@then("the measurement's audit counts {found:w}")
+def check_audit(context, found):
+    counts = _figures.audit(context.records, context.starts)
+    expected = [] if found == "nothing" else [found]
+    assert [name for name, count in counts.items() if count] == expected, counts
+
+
+async def start_relay(context, port):
+    server = await link.start(link.Route(port, 1.0))
+    event_loop.at_end(context, close, server)
+
+
+async def close(server):
+    server.close()
+
+
+async def echo(reader, writer, ended):
+    while data := await reader.read(1000):
+        writer.write(data)
+    writer.close()
+    ended.set()
+
+
+@given("the measurement's relay in front of an echoing server")
+def start_echo(context):
+    async def serve():
+        context.echo_ended = asyncio.Event()
+        return await asyncio.start_server(
+            lambda reader, writer: echo(reader, writer, context.echo_ended), "127.0.0.1", 0
+        )
+
+    server = event_loop.run(context, serve())
+    event_loop.at_end(context, close, server)
+    context.port = server.sockets[0].getsockname()[1]
+    event_loop.run(context, start_relay(context, context.port))
+
+
+@given("the measurement's relay in front of a port without a server")
+def start_dead(context):
+    context.port = processes.free_port()
+    event_loop.run(context, start_relay(context, context.port))
+
+
+@when("the measurement sends {count:d} chunks through the relay and closes")
+def send_chunks(context, count):
+    async def exchange():
+        reader, writer = await asyncio.open_connection(link.RELAY_HOST, context.port)
+        for number in range(count):
+            writer.write(number.to_bytes(4, "big"))
+            await asyncio.sleep(0)
+        context.echoed = await reader.readexactly(4 * count)
+        writer.write_eof()
+        context.rest = await reader.read()
+        writer.close()
+        # The server's side ends too, or connections would be left behind by each caller.
+        await context.echo_ended.wait()
+
+    context.expected = b"".join(number.to_bytes(4, "big") for number in range(count))
+    event_loop.run(context, exchange())
+
+
+@then("the measurement reads all bytes in order and then the end")
+def check_chunks(context):
+    assert context.echoed == context.expected
+    assert context.rest == b"", context.rest
+
+
+@then("the measurement's caller gets no bytes and the end of the connection")
+def check_reset(context):
+    async def read():
+        reader, writer = await asyncio.open_connection(link.RELAY_HOST, context.port)
+        data = b""
+        with contextlib.suppress(ConnectionResetError):
+            data = await reader.read()
+        writer.close()
+        return data
+
+    assert event_loop.run(context, read()) == b""
+
+
+@given('the measurement\'s callers know owner "{owner}" after an answer')
+def learn_owner(context, owner):
+    shape = load.Shape(buyers=[BUYER])
+    context.callers = load.Generator(shape, ["http://turn"], follow_owner=True)
+    context.callers.learn_owner(BUYER.name, owner, retry=False)
+    context.owner = owner
+
+
+@when("the measurement's next attempt ends as {end:w}")
+def end_attempt(context, end):
+    match end:
+        case "complete":
+            context.callers.learn_owner(BUYER.name, context.owner, retry=False)
+        case "cut":
+            context.callers.learn_owner(BUYER.name, None, retry=True)
+        case "retry":
+            context.callers.learn_owner(BUYER.name, context.owner, retry=True)
+
+
+@then("the measurement's callers send the buyer's next job to {place}")
+def check_place(context, place):
+    expected = {"the owner": f"http://{context.owner}", "the next turn": "http://turn"}[place]
+    assert context.callers.next_entry(BUYER.name) == expected
--- /dev/null
+++ b/src/daisyfall_standins/_figures.py
@@ -0,0 +1,86 @@
+"""Arithmetic of the measurements: ratios, gaps, fits; pure functions."""
+
+import itertools
+import statistics
+
+import attrs
+from hdrh import histogram
+
+from daisyfall_standins import load
+
+_HIGHEST_RATIO = 10_000_000  # in thousandths
+
+
+@attrs.frozen
+class Ratios:
+    """Response time over ideal of the complete jobs."""
+
+    p50: float
+    p99: float
+    max: float
+
+
+@attrs.frozen
+class Fit:
+    """A line through measured points, and its largest distance from one of them."""
+
+    slope: float
+    intercept: float
+    residual: float
+
+
+def ratios(records: list[load.Record]) -> Ratios | None:
+    """Return the percentiles over the complete jobs, None without any."""
+    complete = [each for each in records if each.outcome is load.Outcome.COMPLETE]
+    if not complete:
+        return None
+    recorder = histogram.HdrHistogram(1, _HIGHEST_RATIO, 3)
+    for each in complete:
+        recorder.record_value(max(1, round(each.response_ms / each.ideal_ms * 1000)))
+    values = [recorder.get_value_at_percentile(percent) / 1000 for percent in (50, 99, 100)]
+    return Ratios(*values)
+
+
+def longest_gap(ends: list[float]) -> float:
+    """Return the longest time between two answers in a row, 0 for less than two."""
+    ordered = sorted(ends)
+    gaps = [late - early for early, late in itertools.pairwise(ordered)]
+    return max(gaps, default=0.0)
+
+
+def slowest_resubmission(records: list[load.Record]) -> float:
+    """Return the longest time from a job's first broken attempt to its end, in seconds."""
+    times = [
+        each.ended_seconds - each.first_broken_seconds
+        for each in records
+        if each.first_broken_seconds is not None
+    ]
+    return max(times, default=0.0)
+
+
+def subtract(after: dict[str, float], before: dict[str, float]) -> dict[str, float]:
+    """Return the growth by key; a restarted process begins again at 0, so none is negative."""
+    growth = {key: after[key] - before.get(key, 0) for key in after}
+    return {key: value if value >= 0 else after[key] for key, value in growth.items() if value}
+
+
+def fit(points: list[tuple[float, float]]) -> Fit:
+    """Return the least-squares line; raise `ValueError` for less than three points."""
+    if len(points) < 3:
+        raise ValueError(f"a fit needs at least 3 points, found {len(points)}")
+    xs, ys = zip(*points, strict=True)
+    slope, intercept = statistics.linear_regression(xs, ys)
+    distances = [abs(y - slope * x - intercept) for x, y in points]
+    return Fit(slope, intercept, max(distances))
+
+
+def audit(records: list[load.Record], starts_by_token: dict[str, int]) -> dict[str, int]:
+    """Return the counts that must be 0 by the guarantees."""
+    found = load.audit(records, starts_by_token)
+    wrong = [each for each in records if each.outcome is load.Outcome.WRONG]
+    return {
+        "started_twice": len(found.started_twice),
+        "partial_answers": len(wrong) + len(found.complete_without_start),
+        "not_run_but_ran": len(found.started_though_not_run),
+        "started_before_refusal": len(found.started_before_refusal),
+    }
--- a/src/daisyfall_standins/_shape.py
+++ b/src/daisyfall_standins/_shape.py
@@ -19,6 +19,26 @@
         return f"{self.name}.{self.secret}"
 
 
+@attrs.frozen
+class Kind:
+    """A kind of task: run times are log-uniform between `typical_ms` / `spread` and * `spread`.
+
+    What buyers declare is off by a factor of their own for each kind, up to
+    `declared_factor`, as estimates that nobody corrects are.
+    """
+
+    name: str
+    typical_ms: float
+    spread: float = 1.3
+    weight: float = 1.0
+    declared_factor: float = 3.0
+
+    @property
+    def run_ms(self) -> tuple[float, float]:
+        """Return the bounds of the run times."""
+        return (self.typical_ms / self.spread, self.typical_ms * self.spread)
+
+
 @attrs.frozen
 class Shape:
     """A load, bounded by `jobs` and by arrivals within `seconds`.
@@ -43,6 +63,7 @@
     slots: int = 88  # that one job may use
     round_trip_ms: float = 1.0  # sum of the round trips of one job
     kind: str = "load"
+    kinds: tuple[Kind, ...] = ()  # take the place of `kind`, `run_ms` and `long_ms`
     memory_mb: int = 0
     echoes: bool = True  # False: a null runner, whose results carry nothing to check
     seed: int = 0
@@ -52,6 +73,10 @@
         """Return the expected work of one job."""
         weights = self.weight_by_tasks
         tasks = sum(count * weight for count, weight in weights.items()) / sum(weights.values())
+        if self.kinds:
+            total = sum(kind.weight for kind in self.kinds)
+            means = [_log_uniform_mean(kind.run_ms) * kind.weight for kind in self.kinds]
+            return tasks * sum(means) / total
         short = _log_uniform_mean(self.run_ms) * (1 - self.long_share)
         return tasks * (short + _log_uniform_mean(self.long_ms) * self.long_share)
 
@@ -124,11 +149,31 @@
         for _ in range(min(shape.burst, shape.jobs - len(jobs))):
             number = len(jobs)
             size = source.choices(sizes, weights)[0]
+            if shape.kinds:
+                jobs.append(_new_job(shape, source, at, size, f"{run_id}/{number}"))
+                continue
             tasks = [_new_task(shape, source, f"{run_id}/{number}/{i}") for i in range(size)]
             jobs.append(Job(at, source.choice(shape.buyers), shape.deadline_ms, tasks))
     return jobs
 
 
+def _new_job(shape: Shape, source: random.Random, at: float, size: int, name: str) -> Job:
+    """Return a job of tasks of several kinds."""
+    buyer = source.choice(shape.buyers)
+    weights = [kind.weight for kind in shape.kinds]
+    tasks = []
+    for index in range(size):
+        kind = source.choices(shape.kinds, weights)[0]
+        run_ms = round(_log_uniform(source, kind.run_ms), 3)
+        bias = random.Random(f"{shape.seed}/{buyer.name}/{kind.name}")
+        declared = kind.typical_ms * _log_uniform(
+            bias, (1 / kind.declared_factor, kind.declared_factor)
+        )
+        payload = {"token": f"{name}/{index}", "run_ms": run_ms}
+        tasks.append(Task(kind.name, payload, max(1, round(declared)), shape.memory_mb))
+    return Job(at, buyer, shape.deadline_ms, tasks)
+
+
 def _new_task(shape: Shape, source: random.Random, token: str) -> Task:
     bounds = shape.long_ms if source.random() < shape.long_share else shape.run_ms
     run_ms = round(_log_uniform(source, bounds), 3)
--- a/src/daisyfall_standins/load.py
+++ b/src/daisyfall_standins/load.py
@@ -24,6 +24,7 @@
 Job = _shape.Job
 Task = _shape.Task
 
+OWNER_HEADER = "Daisyfall-Owner"
 ATTEMPTS = 20  # by default; their waits add up to about 12 s
 _FIRST_BACKOFF_MS = 20.0
 _LAST_BACKOFF_MS = 1000.0
@@ -58,6 +59,8 @@
     broken: int = 0  # attempts without an answer
     refused: int = 0  # attempts answered as not run
     attempts: int = 0
+    ended_seconds: float = 0.0  # since the start of the load
+    first_broken_seconds: float | None = None  # when the first attempt ended without an answer
 
 
 @attrs.frozen
@@ -96,16 +99,28 @@
 class Generator:
     """Submits jobs to entries; `entries` are base URLs.
 
-    A job ends after its deadline and a margin, or after `attempts` attempts.
+    A job ends after its deadline and a margin, or after `attempts` attempts. With
+    `follow_owner`, a buyer's first attempts go to the entry that its last answer named
+    as the owner; the entries are used in turn after a broken connection or a retry.
     """
 
-    def __init__(self, shape: Shape, entries: list[str], attempts: int = ATTEMPTS):
+    def __init__(
+        self,
+        shape: Shape,
+        entries: list[str],
+        attempts: int = ATTEMPTS,
+        *,
+        follow_owner: bool = False,
+    ):
         self._shape = shape
         self._attempts = attempts
         self._entries = entries
         self._turn = 0
+        self._follow_owner = follow_owner
+        self._owner_by_buyer: dict[str, str] = {}
         self._random = random.Random(shape.seed)
         self._session: aiohttp.ClientSession | None = None
+        self.started = 0.0
 
     async def run(self, jobs: list[Job] | None = None) -> list[Record]:
         """Submit the jobs (default: those of the shape) at their times.
@@ -118,7 +133,7 @@
         connector = aiohttp.TCPConnector(limit=0)
         unlimited = aiohttp.ClientTimeout(total=None)
         async with aiohttp.ClientSession(connector=connector, timeout=unlimited) as self._session:
-            started = _clock.monotonic()
+            self.started = started = _clock.monotonic()
             return await asyncio.gather(*[self._run_job(job, started) for job in jobs])
 
     async def _run_job(self, job: Job, started: float) -> Record:
@@ -139,12 +154,29 @@
                 break
             await asyncio.sleep(wait_ms / 1000)
         record.response_ms = _ms_since(planned)
+        record.ended_seconds = _clock.monotonic() - started
         return record
 
-    async def _attempt(self, job: Job, record: Record) -> float | None:
-        """Submit once; return the wait before the next attempt, None if the job has ended."""
+    def next_entry(self, buyer: str) -> str:
+        """Return the base URL for the buyer's next attempt."""
+        owner = self._owner_by_buyer.get(buyer) if self._follow_owner else None
+        if owner is not None:
+            return f"http://{owner}"
         entry = self._entries[self._turn % len(self._entries)]
         self._turn += 1
+        return entry
+
+    def learn_owner(self, buyer: str, owner: str | None, *, retry: bool) -> None:
+        """Note what an attempt told about the owner; after a retry it is not trusted."""
+        if retry:
+            self._owner_by_buyer.pop(buyer, None)
+        elif owner:
+            self._owner_by_buyer[buyer] = owner
+
+    async def _attempt(self, job: Job, record: Record) -> float | None:
+        """Submit once; return the wait before the next attempt, None if the job has ended."""
+        buyer = job.buyer.name
+        entry = self.next_entry(buyer)
         record.attempts += 1
         headers = {"Authorization": f"Bearer {job.buyer.token}"}
         body = job.as_body(record.job_id)
@@ -154,11 +186,17 @@
                 f"{entry}/v1/jobs", json=body, headers=headers, timeout=limit
             ) as reply:
                 answer = await reply.json()
+                owner = reply.headers.get(OWNER_HEADER)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            self.learn_owner(buyer, None, retry=True)
             record.broken += 1
+            if record.first_broken_seconds is None:
+                record.first_broken_seconds = _clock.monotonic() - self.started
             record.outcome, record.detail = Outcome.UNANSWERED, f"{type(error).__name__} {error}"
             return self._backoff_ms(record.attempts)
-        return self._judge(job, record, answer)
+        wait_ms = self._judge(job, record, answer)
+        self.learn_owner(buyer, owner, retry=wait_ms is not None)
+        return wait_ms
 
     def _judge(self, job: Job, record: Record, answer: dict) -> float | None:
         error = answer.get("error")
--- /dev/null
+++ b/src/daisyfall_standins/measure.py
@@ -0,0 +1,195 @@
+"""`make measure`: run one scenario against a whole deployment and print its figures.
+
+The last line of the output is one JSON object. All processes run on this
+machine and belong to the tool, which ends them.
+"""
+
+import asyncio
+import json
+import os
+import sys
+import time
+
+import attrs
+import fire
+import tabulate
+
+from daisyfall_standins import _bench, _figures, _scenarios, _special, load, processes
+
+SECONDS = 15.0
+IDLE_SECONDS = 3.0
+
+
+def run(
+    *,
+    scenario: str = "steady",
+    seed: int = 1,
+    policy: str = "late_binding",
+    deployment: str = "cooperative",
+    seconds: float = SECONDS,
+    follow_owner: bool = True,
+    report: str = "",
+    runs: str = "",
+) -> None:
+    """Run a scenario; `runs` is a file of JSON lines to add to, `report` an HTML page of them."""
+    names = [*_scenarios.SCENARIO_BY_NAME, *_special.SPECIAL_BY_NAME]
+    if scenario not in names:
+        sys.exit(f"scenario is {scenario!r}, expected one of {', '.join(names)}")
+    options = Options(scenario, seed, policy, deployment, seconds, follow_owner)
+    began = time.monotonic()
+    print(f"{scenario} on {deployment}, policy {policy}, seed {seed}; load {os.getloadavg()}")
+    with processes.Fleet() as fleet:
+        if scenario in _special.SPECIAL_BY_NAME:
+            figures = _special.SPECIAL_BY_NAME[scenario](fleet, options)
+        else:
+            figures = measure_load(fleet, options)
+    head = {"scenario": scenario, "seed": seed, "policy": policy, "deployment": deployment}
+    result = head | figures
+    result["seconds"] = round(time.monotonic() - began, 1)
+    result["load_average"] = round(os.getloadavg()[0], 1)
+    print(tabulate.tabulate([[key, json.dumps(value)] for key, value in result.items()]))
+    _keep(result, runs, report)
+    print(json.dumps(result))
+
+
+def _keep(result: dict, runs: str, report: str) -> None:
+    if runs:
+        with open(runs, "a", encoding="utf-8") as file:
+            file.write(json.dumps(result) + "\n")
+    if report:
+        from daisyfall_standins import _report
+
+        _report.write(report, _report.read(runs) if runs else [result])
+
+
+@attrs.frozen
+class Options:
+    """The command line."""
+
+    scenario: str
+    seed: int
+    policy: str
+    deployment: str
+    seconds: float
+    follow_owner: bool
+
+
+def measure_load(fleet: processes.Fleet, options: Options) -> dict:
+    """Run a scenario that submits the load; return its figures."""
+    scenario = _scenarios.SCENARIO_BY_NAME[options.scenario]
+    deployment = _bench.DEPLOYMENT_BY_NAME[options.deployment]
+    bench = _bench.start(fleet, deployment, options.policy)
+    print(f"  {len(fleet.process_by_name)} processes run", flush=True)
+    return asyncio.run(_measure(bench, scenario, options))
+
+
+async def _measure(bench: _bench.Bench, scenario: _scenarios.Scenario, options: Options) -> dict:
+    idle = await _bench.watch_idle(bench.cluster.agents, IDLE_SECONDS)
+    shape = bench.shape(options.seconds, options.seed)
+    run_id = os.urandom(4).hex()
+    jobs = scenario.jobs(shape, run_id)
+    context = _scenarios.Context(bench, options.seconds)
+    before = _bench.Reading.take(bench)
+    records = await bench.run_load(
+        shape, jobs, lambda: scenario.fault(context), options.follow_owner
+    )
+    after = _bench.Reading.take(bench)
+    figures = summarize(bench, records, (before, after), context.extra_tasks)
+    figures |= {
+        "agent_cpu_percent_idle": idle.cpu_percent,
+        "agent_rss_mb": max(after.rss_mb[agent.name] for agent in bench.cluster.agents),
+        "agent_control_bytes_per_second": idle.bytes_per_second,
+        "shape": describe(shape, bench, options),
+    }
+    if context.split_seconds:
+        figures |= compare_halves(jobs, records, context.split_seconds)
+    return figures | context.figures
+
+
+def compare_halves(jobs: list[load.Job], records: list[load.Record], split: float) -> dict:
+    """Return the response over ideal of the jobs planned before and after a moment."""
+    pairs = list(zip(jobs, records, strict=True))
+    early = _figures.ratios([record for job, record in pairs if job.at_seconds < split])
+    late = _figures.ratios([record for job, record in pairs if job.at_seconds >= split])
+    return {
+        "response_over_ideal_before_fault": attrs.asdict(early) if early else None,
+        "response_over_ideal_after_fault": attrs.asdict(late) if late else None,
+    }
+
+
+def summarize(
+    bench: _bench.Bench,
+    records: list[load.Record],
+    readings: tuple[_bench.Reading, _bench.Reading],
+    extra_tasks: int = 0,
+) -> dict:
+    """Return the figures of a load; `extra_tasks` were submitted beside the records."""
+    before, after = readings
+    report = load.summarize(records)
+    starts = bench.cluster.starts()
+    wasted = _figures.subtract(after.wasted_by_reason, before.wasted_by_reason)
+    # A resubmission costs a request and its answer, which no daemon can tell from first ones.
+    wasted["resubmission"] = 2 * report.resubmissions
+    names = [entry.name for entry in bench.cluster.entries]
+    cpu = _figures.subtract(after.cpu, before.cpu)
+    entry_cpu = sum(cpu.get(name, 0) for name in names)
+    found = _figures.ratios(records)
+    tasks = report.tasks + extra_tasks
+    audit = _figures.audit(records, starts.count_by_token)
+    # A task with a new id for a token is found by token, a repeated id by id.
+    audit["started_twice"] = len(starts.twice)
+    return {
+        "jobs": report.jobs,
+        "complete": report.outcomes["complete"],
+        "failed": report.outcomes["failed"],
+        "refused": report.outcomes["refused"],
+        "unanswered": report.outcomes["unanswered"],
+        "tasks": tasks,
+        "starts": starts.total,
+        **audit,
+        "response_over_ideal": attrs.asdict(found) if found else None,
+        "wasted_messages_per_task": round(sum(wasted.values()) / tasks, 4),
+        "wasted_by_reason": {name: round(value) for name, value in wasted.items()},
+        "starts_per_second": round(starts.total / (after.at - before.at), 1),
+        "entry_cpu_us_per_start": round(entry_cpu / max(1, starts.total) * 1e6, 1),
+        "entry_rss_mb": round(max(after.rss_mb.get(name, 0) for name in names), 1),
+        "resubmissions": report.resubmissions,
+        "broken_connections": report.broken_connections,
+        "refusals_by_kind": report.refusals_by_kind,
+        "failures": _count_details(records),
+        "longest_gap_seconds": round(
+            _figures.longest_gap([each.ended_seconds for each in records]), 2
+        ),
+        "slowest_resubmission_seconds": round(_figures.slowest_resubmission(records), 2),
+        "response_ms": {"p50": report.response_ms_p50, "p99": report.response_ms_p99},
+        "generator_lag_ms_p99": report.generator_lag_ms_p99,
+    }
+
+
+def _count_details(records: list[load.Record]) -> dict[str, int]:
+    """Return the most frequent reasons of jobs that are not complete."""
+    counts: dict[str, int] = {}
+    for each in records:
+        if each.outcome is not load.Outcome.COMPLETE:
+            reason = f"{each.outcome.value}: {each.detail[:80]}"
+            counts[reason] = counts.get(reason, 0) + 1
+    return dict(sorted(counts.items(), key=lambda item: -item[1])[:5])
+
+
+def describe(shape, bench: _bench.Bench, options: Options) -> dict:
+    """Return the shape of the load and the deployment for the output."""
+    return {
+        "runners": len(bench.cluster.agents),
+        "slots": shape.slots,
+        "entries": len(bench.cluster.entries),
+        "buyers": len(shape.buyers),
+        "jobs_per_second": round(shape.jobs_per_second, 1),
+        "kinds": {kind.name: kind.typical_ms for kind in shape.kinds},
+        "round_trips_ms": shape.round_trip_ms,
+        "seconds": options.seconds,
+        "follow_owner": options.follow_owner,
+    }
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
