--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo measure clean
+.PHONY: install test lint format demo measure slopes clean
 
 install: $(STAMP)
 
@@ -30,5 +30,8 @@
 measure: $(STAMP)
 	$(PY) -m daisyfall_standins.measure $(ARGS)
 
+slopes: $(STAMP)
+	$(PY) -m daisyfall_standins.slopes $(ARGS)
+
 clean:
 	rm -rf $(VENV) build src/*.egg-info .ruff_cache .hypothesis
--- a/features/measurement.feature
+++ b/features/measurement.feature
@@ -35,6 +35,21 @@
     And the measurement sums up a failed job that took 1 ms
     Then the measurement's response over ideal is 1.1 at p50 and 3 at most
 
+  # The model tells what a load allows at best, so its queue must not lose or add work.
+  Scenario Outline: one queue without overhead
+    Then the measurement's model of jobs "<jobs>" on <slots> slots has <most> over ideal at most
+
+    Examples:
+      | jobs          | slots | most |
+      | 0:100         | 1     | 1    |
+      | 0:100 0:100   | 1     | 2    |
+      | 0:100 0:100   | 2     | 1    |
+      | 0:100 100:100 | 1     | 1    |
+      | 0:50,50,100   | 2     | 1    |
+
+  Scenario: the load that jobs offer
+    Then the measurement's jobs "0:500,500 1000:1000" offer a load of 0.5 to 2 slots in 2 seconds
+
   Scenario Outline: guarantees are audited from records and starts
     When the measurement has a job recorded as <outcome> whose task started <starts> times
     Then the measurement's audit counts <found>
--- a/features/steps/measurement_steps.py
+++ b/features/steps/measurement_steps.py
@@ -92,6 +92,32 @@
     assert math.isclose(found.max, most, rel_tol=0.002), found
 
 
+def read_jobs(text):
+    """Return jobs from `at_ms:run_ms,run_ms ...`."""
+    jobs = []
+    for part in text.split():
+        at, _, runs = part.partition(":")
+        tasks = [load.Task("k", {"token": "", "run_ms": float(run)}, 1) for run in runs.split(",")]
+        jobs.append(load.Job(float(at) / 1000, BUYER, 1000, tasks))
+    return jobs
+
+
+@then(
+    'the measurement\'s model of jobs "{jobs}" on {slots:d} slots has {most:g} over ideal at most'
+)
+def check_model(context, jobs, slots, most):
+    found = _figures.model_ratios(read_jobs(jobs), slots, 0.0)
+    assert math.isclose(found.max, most, rel_tol=0.002), found
+
+
+@then(
+    'the measurement\'s jobs "{jobs}" offer a load of {share:g} to {slots:d} slots in '
+    "{seconds:g} seconds"
+)
+def check_offered(context, jobs, share, slots, seconds):
+    assert _figures.offered_load(read_jobs(jobs), seconds, slots) == share
+
+
 @when("the measurement has a job recorded as {outcome:w} whose task started {starts:d} times")
 def record_job(context, outcome, starts):
     refused = int(outcome == "refused")
--- a/src/daisyfall_standins/_figures.py
+++ b/src/daisyfall_standins/_figures.py
@@ -1,12 +1,13 @@
 """Arithmetic of the measurements: ratios, gaps, fits; pure functions."""
 
+import heapq
 import itertools
 import statistics
 
 import attrs
 from hdrh import histogram
 
-from daisyfall_standins import load
+from daisyfall_standins import _shape, load
 
 _HIGHEST_RATIO = 10_000_000  # in thousandths
 
@@ -41,6 +42,33 @@
     return Ratios(*values)
 
 
+def offered_load(jobs: list[_shape.Job], seconds: float, slots: int) -> float:
+    """Return the work of the jobs as a share of what the slots can do in the time."""
+    work_ms = sum(task.payload["run_ms"] for job in jobs for task in job.tasks)
+    return work_ms / 1000 / seconds / slots
+
+
+def model_ratios(jobs: list[_shape.Job], slots: int, round_trip_ms: float) -> Ratios:
+    """Return the ratios of one queue without overhead: jobs in order of arrival, long tasks first.
+
+    It shows how much of a measured ratio comes from the load itself.
+    """
+    free = [0.0] * slots
+    records = []
+    for job in jobs:
+        at = job.at_seconds * 1000
+        end = at
+        for run_ms in sorted((task.payload["run_ms"] for task in job.tasks), reverse=True):
+            done = max(at, heapq.heappop(free)) + run_ms
+            heapq.heappush(free, done)
+            end = max(end, done)
+        ideal = job.ideal_ms(slots, round_trip_ms)
+        record = load.Record("", job.buyer.name, [], ideal, end - at + round_trip_ms)
+        record.outcome = load.Outcome.COMPLETE
+        records.append(record)
+    return ratios(records)
+
+
 def longest_gap(ends: list[float]) -> float:
     """Return the longest time between two answers in a row, 0 for less than two."""
     ordered = sorted(ends)
--- /dev/null
+++ b/src/daisyfall_standins/_light_agent.py
@@ -0,0 +1,99 @@
+"""Agents without a process of their own: connections that speak the agents' protocol.
+
+They answer each start at once, so an entry can be measured against more agents
+than this machine could run.
+"""
+
+import asyncio
+import contextlib
+
+import websockets.asyncio.client
+
+from daisyfall import _ids, _wire
+from daisyfall.connection import _handshake
+
+_HEARTBEAT_SECONDS = 1.0
+
+
+class LightAgent:
+    """One agent of 8 slots and its link to one entry; `holds` leaves its tasks unanswered."""
+
+    def __init__(self, number: int, address: str, key: str, *, holds: bool = False):
+        self._hello = _wire.Hello(
+            _wire.ROLE_AGENT,
+            f"light-{number}",
+            _ids.new_incarnation(),
+            _wire.MAX_VERSION,
+            b"",
+            "quito-1",
+            "",
+            f"rack-{number // 3}",
+        )
+        self._address = address
+        self._key = key
+        self._holds = holds
+        self._listed = asyncio.Event()
+        self._socket = None
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Connect; return when the entry has listed the agent."""
+        self._socket = await websockets.asyncio.client.connect(
+            f"ws://{self._address}",
+            compression=None,
+            max_size=_wire.MAX_MESSAGE_BYTES,
+            ping_interval=None,
+            proxy=None,
+        )
+        await _handshake.connect(self._socket, self._key, self._hello)
+        self._tasks = [asyncio.create_task(self._beat()), asyncio.create_task(self._read())]
+        await self._listed.wait()
+        await self._send_status()
+
+    async def stop(self) -> None:
+        """Close the link."""
+        for task in self._tasks:
+            task.cancel()
+        if self._socket is not None:
+            await self._socket.close()
+
+    async def _beat(self) -> None:
+        while True:
+            await self._send_status()
+            await asyncio.sleep(_HEARTBEAT_SECONDS)
+
+    async def _send_status(self) -> None:
+        listed = self._listed.is_set()
+        status = _wire.AgentStatus(
+            8, 0, 0, listed, False, listed, 65_536, 0, [], 0, self._hello.node_id
+        )
+        await self._socket.send(_wire.encode(status))
+
+    async def _read(self) -> None:
+        with contextlib.suppress(websockets.ConnectionClosed):
+            async for frame in self._socket:
+                await self._take(_wire.decode(frame))
+
+    async def _take(self, message) -> None:
+        incarnation = self._hello.incarnation
+        match message:
+            case _wire.Listed():
+                self._listed.set()
+            case _wire.Fence(epochs=epochs):
+                for shard, epoch in epochs.items():
+                    report = _wire.FenceReport(shard, epoch, incarnation, [], True)
+                    await self._socket.send(_wire.encode(report))
+            case _wire.Start() if not self._holds:
+                items = [
+                    [message.buyer, message.job_id, task[0], _wire.DONE, None, 0]
+                    for task in message.tasks
+                ]
+                await self._socket.send(_wire.encode(_wire.Results(items, 0, 0)))
+
+
+async def start_many(count: int, address: str, key: str, *, holds: bool = False) -> list:
+    """Start light agents, a few at a time so that the table can list them."""
+    agents = [LightAgent(number, address, key, holds=holds) for number in range(count)]
+    for first in range(0, count, 8):
+        await asyncio.gather(*[agent.start() for agent in agents[first : first + 8]])
+    return agents
--- a/src/daisyfall_standins/_scenarios.py
+++ b/src/daisyfall_standins/_scenarios.py
@@ -9,7 +9,7 @@
 import attrs
 
 from daisyfall import _ids
-from daisyfall_standins import _bench, _shape
+from daisyfall_standins import _bench, _figures, _shape
 from daisyfall_standins import cluster as clusters
 
 _FAULT_AT = 4.0  # seconds after the start of the load
@@ -212,8 +212,14 @@
 
 
 def steady_jobs(shape: _shape.Shape, run_id: str) -> list[_shape.Job]:
-    """Return the jobs of the shape."""
-    return _shape.generate(shape, run_id)
+    """Return the jobs of the shape, over the time in which they are exactly 70% load.
+
+    The sizes of a few hundred jobs vary so much that their load is off by a tenth.
+    """
+    jobs = _shape.generate(shape, run_id)
+    offered = _figures.offered_load(jobs, shape.seconds, shape.slots)
+    factor = offered / _bench.LOAD
+    return [attrs.evolve(job, at_seconds=job.at_seconds * factor) for job in jobs]
 
 
 def burst_jobs(shape: _shape.Shape, run_id: str) -> list[_shape.Job]:
@@ -222,14 +228,14 @@
     more = attrs.evolve(shape, seconds=1.0, jobs_per_second=rate, seed=shape.seed + 1)
     extra = _shape.generate(more, f"{run_id}-burst")
     moved = [attrs.evolve(job, at_seconds=job.at_seconds + _FAULT_AT) for job in extra]
-    jobs = [*_shape.generate(shape, run_id), *moved]
+    jobs = [*steady_jobs(shape, run_id), *moved]
     return sorted(jobs, key=lambda job: job.at_seconds)
 
 
 def wrong_jobs(shape: _shape.Shape, run_id: str) -> list[_shape.Job]:
     """Return jobs with run times off by up to 10; one in twenty needs more than any worker has."""
     kinds = tuple(attrs.evolve(kind, declared_factor=10.0) for kind in shape.kinds)
-    jobs = _shape.generate(attrs.evolve(shape, kinds=kinds), run_id)
+    jobs = steady_jobs(attrs.evolve(shape, kinds=kinds), run_id)
     for job in jobs[::20]:
         job.tasks[0] = attrs.evolve(job.tasks[0], memory_mb=1_000_000)
     return jobs
--- a/src/daisyfall_standins/measure.py
+++ b/src/daisyfall_standins/measure.py
@@ -99,6 +99,10 @@
         "agent_cpu_percent_idle": idle.cpu_percent,
         "agent_rss_mb": max(after.rss_mb[agent.name] for agent in bench.cluster.agents),
         "agent_control_bytes_per_second": idle.bytes_per_second,
+        "offered_load": round(_figures.offered_load(jobs, jobs[-1].at_seconds, shape.slots), 3),
+        "model_over_ideal": attrs.asdict(
+            _figures.model_ratios(jobs, shape.slots, shape.round_trip_ms)
+        ),
         "shape": describe(shape, bench, options),
     }
     if context.split_seconds:
--- /dev/null
+++ b/src/daisyfall_standins/slopes.py
@@ -0,0 +1,294 @@
+"""`make slopes`: how memory, processor time and traffic grow, for the capacity page.
+
+Each slope comes from at least three sizes with a line through them. The last
+line of the output is one JSON object; a Markdown table stands before it.
+"""
+
+import asyncio
+import json
+import os
+import time
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import attrs
+import fire
+import tabulate
+
+from daisyfall import _ids, _wire
+from daisyfall.request import _ledger
+from daisyfall_standins import _bench, _figures, _light_agent, _shape, _special, processes
+from daisyfall_standins import cluster as clusters
+
+_AGENTS = (10, 40, 160)
+_REMEMBERED = (0, 5_000, 10_000, 20_000)
+_QUEUED = (0, 10_000, 30_000, 60_000)
+_STARTS_PER_SECOND = (0, 2_000, 5_000, 10_000)
+_BUYERS = (100, 300, 950)
+_ENTRIES = (1, 2, 4)
+_REPORTED = (1_000, 5_000, 20_000)
+_WATCH_SECONDS = 4.0
+_SETTLE_SECONDS = 2.0
+_JOB_TASKS = 100
+_LARGEST_JOB = 1_900
+
+Points = list[tuple[float, float]]
+
+
+@attrs.frozen
+class Slope:
+    """Measured points of one relation and the line through them."""
+
+    name: str
+    unit: str
+    points: Points
+
+    def as_row(self) -> dict:
+        """Return the figures for the output."""
+        line = _figures.fit(self.points)
+        return {
+            "slope": float(f"{line.slope:.4g}"),
+            "at_0": float(f"{line.intercept:.4g}"),
+            "residual": float(f"{line.residual:.3g}"),
+            "unit": self.unit,
+            "points": [[x, round(y, 3)] for x, y in self.points],
+        }
+
+
+def _start(fleet: processes.Fleet, entries: int, agents: int) -> _bench.Bench:
+    deployment = _bench.DEPLOYMENT_BY_NAME["cooperative"]
+    return _bench.start(
+        fleet,
+        deployment,
+        "late_binding",
+        entries=entries,
+        agents=agents,
+        null_runners=True,
+        latency=False,
+    )
+
+
+async def _cpu_percent(process: processes.Process, seconds: float = _WATCH_SECONDS) -> float:
+    return (await _bench.watch_idle([process], seconds)).cpu_percent
+
+
+async def agents_connected(fleet: processes.Fleet) -> list[Slope]:
+    """Measure an idle entry against the agents that are connected."""
+    bench = _start(fleet, 1, 0)
+    entry = bench.cluster.entries[0]
+    cpu, rss = [], []
+    for count in _AGENTS:
+        agents = await _light_agent.start_many(count, entry.peer, fleet.key)
+        await asyncio.sleep(_SETTLE_SECONDS)
+        found = await _bench.watch_idle([entry], _WATCH_SECONDS)
+        cpu.append((count, found.cpu_percent))
+        rss.append((count, found.rss_mb))
+        await asyncio.gather(*[agent.stop() for agent in agents])
+    return [
+        Slope("idle entry CPU by agents", "% of a core per agent", cpu),
+        Slope("entry RSS by agents", "MB per agent", rss),
+    ]
+
+
+async def jobs_remembered(fleet: processes.Fleet) -> list[Slope]:
+    """Measure entry and agent against settled jobs of one null task; two agents share them."""
+    bench = _start(fleet, 1, 2)
+    loop = _special.ClosedLoop(bench, 1)
+    entry, agent = bench.cluster.entries[0], bench.cluster.agents[0]
+    entry_rss, agent_rss = [], []
+    for size in _REMEMBERED:
+        await loop.run(30.0, size - loop.submitted)
+        entry_rss.append((loop.complete, entry.usage().rss_mb))
+        started = sum(clusters.read_metric(agent, _bench.STARTS).values())
+        agent_rss.append((started, agent.usage().rss_mb))
+    return [
+        Slope("entry RSS by remembered jobs", "MB per job", entry_rss),
+        Slope("agent RSS by remembered starts", "MB per start", agent_rss),
+    ]
+
+
+async def tasks_queued(fleet: processes.Fleet) -> list[Slope]:
+    """Measure an entry against queued tasks; its one agent answers nothing."""
+    bench = _start(fleet, 1, 0)
+    entry = bench.cluster.entries[0]
+    agents = await _light_agent.start_many(1, entry.peer, fleet.key, holds=True)
+    points, queued = [], 0
+    async with aiohttp.ClientSession() as session:
+        for size in _QUEUED:
+            while queued < size:
+                tasks = min(_LARGEST_JOB, size - queued)
+                status = await _queue(session, bench, tasks)
+                if status != 202:
+                    raise ValueError(f"a job was answered with {status} at {queued} queued tasks")
+                queued += tasks
+            await asyncio.sleep(0.5)
+            points.append((queued, entry.usage().rss_mb))
+    await asyncio.gather(*[agent.stop() for agent in agents])
+    return [Slope("entry RSS by queued tasks", "MB per task", points)]
+
+
+async def _queue(session, bench: _bench.Bench, tasks: int) -> int:
+    buyer = bench.buyers[0]
+    headers = {"Authorization": f"Bearer {buyer.token}"}
+    task = _shape.Task("held", {"token": "x"}, 1).as_body()
+    body = {"job_id": _ids.new_job_id(), "deadline_ms": 300_000, "tasks": [task] * tasks}
+    url = f"{bench.caller_urls[0]}/v1/jobs?wait=0"
+    async with session.post(url, json=body, headers=headers) as reply:
+        await reply.read()
+        return reply.status
+
+
+async def starts_per_second(fleet: processes.Fleet) -> list[Slope]:
+    """Measure the entry's processor time against the rate of starts in jobs of 100."""
+    bench = _start(fleet, 1, 4)
+    entry = bench.cluster.entries[0]
+    points = []
+    for rate in _STARTS_PER_SECOND:
+        before = bench.cluster.sum_metric(_bench.STARTS, bench.cluster.agents)
+        began = time.monotonic()
+        watch = asyncio.create_task(_cpu_percent(entry))
+        await _submit_at(bench, rate / _JOB_TASKS)
+        cpu = await watch
+        seconds = time.monotonic() - began
+        after = bench.cluster.sum_metric(_bench.STARTS, bench.cluster.agents)
+        points.append(((after - before) / seconds, cpu))
+    return [Slope("entry CPU by starts per second", "% of a core per start/s", points)]
+
+
+async def _submit_at(bench: _bench.Bench, jobs_per_second: float) -> None:
+    """Submit jobs of null tasks at an even rate for the time of one watch."""
+    count = round(jobs_per_second * _WATCH_SECONDS)
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+        tasks = [_submit_later(session, bench, n, n / jobs_per_second) for n in range(count)]
+        await asyncio.gather(*tasks)
+
+
+async def _submit_later(session, bench: _bench.Bench, number: int, delay: float) -> None:
+    await asyncio.sleep(delay)
+    buyer = bench.buyers[number % len(bench.buyers)]
+    headers = {"Authorization": f"Bearer {buyer.token}"}
+    tasks = [_shape.Task("null", None, 1).as_body()] * _JOB_TASKS
+    body = {"job_id": _ids.new_job_id(), "deadline_ms": 30_000, "tasks": tasks}
+    async with session.post(f"{bench.caller_urls[0]}/v1/jobs", json=body, headers=headers) as reply:
+        await reply.read()
+
+
+async def buyers_in_lists(fleet: processes.Fleet) -> list[Slope]:
+    """Measure a list change at two entries against the number of buyers."""
+    bench = _start(fleet, 2, 0)
+    cpu, seconds = [], []
+    for count in _BUYERS:
+        buyers = [_shape.Buyer(f"buyer-{n}", os.urandom(8).hex()) for n in range(count)]
+        times, used = [], []
+        for _ in range(3):
+            lists = clusters.write_lists(buyers)
+            before = sum(each.usage().cpu_seconds for each in bench.cluster.entries)
+            began = time.monotonic()
+            await asyncio.to_thread(bench.cluster.apply_lists, lists)
+            times.append(time.monotonic() - began)
+            await asyncio.sleep(0.5)
+            after = sum(each.usage().cpu_seconds for each in bench.cluster.entries)
+            used.append((after - before) / 2 * 1000)
+        cpu.append((count, sum(used) / len(used)))
+        seconds.append((count, sum(times) / len(times)))
+    return [
+        Slope("entry CPU of a list change by buyers", "ms per buyer", cpu),
+        Slope("time of a list change by buyers", "s per buyer", seconds),
+    ]
+
+
+async def entries_running(_fleet: processes.Fleet) -> list[Slope]:
+    """Measure an idle agent's traffic and the table's load against the number of entries."""
+    bytes_sent, reads, writes = [], [], []
+    for count in _ENTRIES:
+        with processes.Fleet() as fleet:
+            bench = _start(fleet, count, 2)
+            await asyncio.sleep(_SETTLE_SECONDS)
+            before = _table_calls(bench)
+            found = await _bench.watch_idle(bench.cluster.agents, _WATCH_SECONDS)
+            after = _table_calls(bench)
+        bytes_sent.append((count, found.bytes_per_second))
+        reads.append((count, (after["reads"] - before["reads"]) / _WATCH_SECONDS))
+        writes.append((count, (after["writes"] - before["writes"]) / _WATCH_SECONDS))
+    return [
+        Slope("idle agent bytes by entries", "B/s per entry", bytes_sent),
+        Slope("table reads by entries", "reads/s per entry", reads),
+        Slope("table writes by entries", "writes/s per entry", writes),
+    ]
+
+
+def _table_calls(bench: _bench.Bench) -> dict:
+    return clusters.call("GET", f"{bench.cluster.table.url}/v1/stats")[1]
+
+
+async def jobs_reported(_fleet: processes.Fleet) -> list[Slope]:
+    """Measure an agent's fence report in this process: built and encoded, without a network."""
+    sizes, seconds = [], []
+    for count in _REPORTED:
+        ledger = _ledger.Ledger("incarnation", 600.0, 1 << 26)
+        for _ in range(count):
+            job_id = _ids.new_job_id()
+            items = [[index, "null", None, 0, 0, 0] for index in range(4)]
+            start = _wire.Start(1, 1, "incarnation", "buyer", job_id, b"d" * 32, 4, items)
+            ledger.accept(start, "entry-1", 0.0)
+            for index in range(4):
+                ledger.mark_started(("buyer", job_id), index, 1, 0.0)
+                ledger.finish(["buyer", job_id, index, _wire.DONE, None, 0], 0.0)
+        began = time.process_time()
+        ledger.fence(1, 2, "entry-2")
+        sizes.append((count, sum(len(_wire.encode(each)) for each in ledger.report(1))))
+        seconds.append((count, (time.process_time() - began) * 1000))
+    return [
+        Slope("fence report by remembered jobs", "B per job", sizes),
+        Slope("agent CPU of a fence report by remembered jobs", "ms per job", seconds),
+    ]
+
+
+MEASUREMENTS: tuple[Callable[[processes.Fleet], Awaitable[list[Slope]]], ...] = (
+    agents_connected,
+    jobs_remembered,
+    tasks_queued,
+    starts_per_second,
+    buyers_in_lists,
+    entries_running,
+    jobs_reported,
+)
+
+
+def run(only: str = "") -> None:
+    """Measure all slopes, or the one named `only`."""
+    rows = {}
+    for measure in MEASUREMENTS:
+        if only and measure.__name__ != only:
+            continue
+        load_average = round(os.getloadavg()[0], 1)
+        print(f"{measure.__name__}, load average {load_average}", flush=True)
+        with processes.Fleet() as fleet:
+            slopes = asyncio.run(measure(fleet))
+        for slope in slopes:
+            rows[slope.name] = slope.as_row() | {"load_average": load_average}
+            print(f"  {slope.name}: {rows[slope.name]}", flush=True)
+    print(as_markdown(rows))
+    print(json.dumps(rows))
+
+
+def as_markdown(rows: dict[str, dict]) -> str:
+    """Return the table for the capacity page."""
+    columns = ["relation", "slope", "unit", "at 0", "residual", "points", "load average"]
+    cells = [
+        [
+            name,
+            row["slope"],
+            row["unit"],
+            row["at_0"],
+            row["residual"],
+            ", ".join(f"{x:g}: {y:g}" for x, y in row["points"]),
+            row["load_average"],
+        ]
+        for name, row in rows.items()
+    ]
+    return tabulate.tabulate(cells, columns, tablefmt="github", disable_numparse=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
