--- a/features/measurement.feature
+++ b/features/measurement.feature
@@ -63,6 +63,12 @@
       | refused  | 0      | nothing         |
       | refused  | 1      | not_run_but_ran |
 
+  # Names reach the page from a file, and the page must open without a network.
+  Scenario: the page compares the runs of a file
+    Given the measurement's file of runs "steady <b>", "burst" and "idle"
+    When the measurement writes its page
+    Then the measurement's page names all runs, has 2 charts and loads nothing
+
   # Bytes that overtake each other would break the connections that the relay delays.
   Scenario: the relay keeps bytes in order and closes both sides
     Given the measurement's relay in front of an echoing server
--- a/features/steps/measurement_steps.py
+++ b/features/steps/measurement_steps.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import contextlib
+import html
+import json
 import math
+import pathlib
+import tempfile
 
 import event_loop
 from behave import given, then, when
 
-from daisyfall_standins import _figures, link, load, processes
+from daisyfall_standins import _figures, _report, link, load, processes
 
 BUYER = load.Buyer("roca", "secret")
 
@@ -228,3 +232,32 @@
 def check_place(context, place):
     expected = {"the owner": f"http://{context.owner}", "the next turn": "http://turn"}[place]
     assert context.callers.next_entry(BUYER.name) == expected
+
+
+@given('the measurement\'s file of runs "{first}", "{second}" and "{third}"')
+def write_runs(context, first, second, third):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.runs = pathlib.Path(folder.name) / "runs.jsonl"
+    context.names = [first, second, third]
+    common = {"deployment": "salinas", "policy": "random", "seed": 1}
+    ratios = {"response_over_ideal": {"p50": 1.0, "p99": 2.0}, "wasted_messages_per_task": 0.1}
+    lines = [json.dumps(common | ratios | {"scenario": name}) for name in (first, second)]
+    lines.append(json.dumps(common | {"scenario": third}))
+    context.runs.write_text("\n".join(lines))
+
+
+@when("the measurement writes its page")
+def write_page(context):
+    path = context.runs.with_suffix(".html")
+    _report.write(str(path), _report.read(str(context.runs)))
+    context.page = path.read_text()
+
+
+@then("the measurement's page names all runs, has {count:d} charts and loads nothing")
+def check_page(context, count):
+    for name in context.names:
+        assert html.escape(name) in context.page, name
+    assert "<b>" not in context.page
+    assert context.page.count("<figure>") == count
+    assert " src=" not in context.page and "xlink:href" not in context.page
--- a/src/daisyfall_standins/_bench.py
+++ b/src/daisyfall_standins/_bench.py
@@ -188,7 +188,7 @@
     cpu: dict[str, float]
     rss_mb: dict[str, float]
     bytes: dict[str, int]
-    wasted_by_reason: dict[str, float]
+    wasted: dict[tuple[str, str], float]  # by process and reason
     starts: float
 
     @classmethod
@@ -196,10 +196,10 @@
         """Read the counters of the processes that run."""
         running = [each for each in bench.cluster.daemons if each.popen.poll() is None]
         usage = {each.name: each.usage() for each in running}
-        wasted: dict[str, float] = {}
+        wasted: dict[tuple[str, str], float] = {}
         for each in running:
             for labels, value in clusters.read_metric(each, WASTED).items():
-                wasted[labels[0]] = wasted.get(labels[0], 0) + value
+                wasted[each.name, labels[0]] = value
         agents = bench.cluster.agents
         return cls(
             time.monotonic(),
--- a/src/daisyfall_standins/_special.py
+++ b/src/daisyfall_standins/_special.py
@@ -71,7 +71,7 @@
     starts = after.starts - before.starts
     entry = bench.cluster.entries[0].name
     cpu = after.cpu[entry] - before.cpu[entry]
-    wasted = sum(after.wasted_by_reason.values()) - sum(before.wasted_by_reason.values())
+    wasted = sum(after.wasted.values()) - sum(before.wasted.values())
     return {
         "jobs": loop.complete - jobs,
         "complete": loop.complete - jobs,
--- a/src/daisyfall_standins/measure.py
+++ b/src/daisyfall_standins/measure.py
@@ -131,7 +131,9 @@
     before, after = readings
     report = load.summarize(records)
     starts = bench.cluster.starts()
-    wasted = _figures.subtract(after.wasted_by_reason, before.wasted_by_reason)
+    wasted: dict[str, float] = {}
+    for (_, reason), value in _figures.subtract(after.wasted, before.wasted).items():
+        wasted[reason] = wasted.get(reason, 0) + value
     # A resubmission costs a request and its answer, which no daemon can tell from first ones.
     wasted["resubmission"] = 2 * report.resubmissions
     names = [entry.name for entry in bench.cluster.entries]
