--- a/src/daisyfall_standins/measure.py
+++ b/src/daisyfall_standins/measure.py
@@ -28,6 +28,7 @@
     deployment: str = "cooperative",
     seconds: float = SECONDS,
     follow_owner: bool = True,
+    entries: int = _bench.ENTRIES,
     report: str = "",
     runs: str = "",
 ) -> None:
@@ -35,7 +36,7 @@
     names = [*_scenarios.SCENARIO_BY_NAME, *_special.SPECIAL_BY_NAME]
     if scenario not in names:
         sys.exit(f"scenario is {scenario!r}, expected one of {', '.join(names)}")
-    options = Options(scenario, seed, policy, deployment, seconds, follow_owner)
+    options = Options(scenario, seed, policy, deployment, seconds, follow_owner, entries)
     began = time.monotonic()
     print(f"{scenario} on {deployment}, policy {policy}, seed {seed}; load {os.getloadavg()}")
     with processes.Fleet() as fleet:
@@ -72,13 +73,14 @@
     deployment: str
     seconds: float
     follow_owner: bool
+    entries: int
 
 
 def measure_load(fleet: processes.Fleet, options: Options) -> dict:
     """Run a scenario that submits the load; return its figures."""
     scenario = _scenarios.SCENARIO_BY_NAME[options.scenario]
     deployment = _bench.DEPLOYMENT_BY_NAME[options.deployment]
-    bench = _bench.start(fleet, deployment, options.policy)
+    bench = _bench.start(fleet, deployment, options.policy, entries=options.entries)
     print(f"  {len(fleet.process_by_name)} processes run", flush=True)
     return asyncio.run(_measure(bench, scenario, options))
 
