--- a/src/daisyfall_standins/_scenarios.py
+++ b/src/daisyfall_standins/_scenarios.py
@@ -123,10 +123,11 @@
     async with aiohttp.ClientSession() as session:
         wave = [_submit_and_cancel(context, session, n) for n in range(_WAVE_JOBS)]
         ends = await asyncio.gather(*wave)
-    context.figures["cancel_statuses"] = {str(end): ends.count(end) for end in set(ends)}
+    context.figures["cancel_statuses"] = {end: ends.count(end) for end in sorted(set(ends))}
 
 
-async def _submit_and_cancel(context: Context, session, number: int) -> int:
+async def _submit_and_cancel(context: Context, session, number: int) -> str:
+    """Return the statuses of the submission and of the cancellation, with its error kind."""
     buyer = context.bench.buyers[number % len(context.bench.buyers)]
     urls = context.bench.caller_urls
     url, job_id = urls[number % len(urls)], _ids.new_job_id()
@@ -137,10 +138,12 @@
     ]
     body = _shape.Job(0.0, buyer, 30_000, tasks).as_body(job_id)
     async with session.post(f"{url}/v1/jobs?wait=0", json=body, headers=headers) as reply:
-        await reply.read()
+        answer = await reply.json()
+        submitted = f"{reply.status} {answer.get('error', {}).get('kind', '')}".strip()
     async with session.delete(f"{url}/v1/jobs/{job_id}", headers=headers) as reply:
-        await reply.read()
-        return reply.status
+        answer = await reply.json()
+        cancelled = f"{reply.status} {answer.get('error', {}).get('kind', '')}".strip()
+    return f"{submitted}, {cancelled}"
 
 
 async def conflicting_edits(context: Context) -> None:
