--- a/src/daisyfall_standins/verdict.py
+++ b/src/daisyfall_standins/verdict.py
@@ -4,12 +4,15 @@
 failing scenario, and a listed one that passes or is gone, makes the verdict red.
 """
 
+import concurrent.futures
 import json
 import pathlib
 import subprocess
 import sys
 import tempfile
 
+# Features run side by side; more would make the processes of the fault features wait for cores.
+WORKERS = 4
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 
 
@@ -47,18 +50,48 @@
     return len(passed), problems
 
 
-def main() -> int:
-    """Run behave on the given paths; return the exit status."""
+def run_feature(feature: pathlib.Path) -> tuple[dict[str, str], str]:
+    """Run one feature file; return the status of each scenario, and what behave printed."""
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "report.json"
         command = [sys.executable, "-m", "behave", "--no-capture", "--format", "progress"]
         command += ["--outfile", "/dev/stdout", "--format", "json", "--outfile", str(report)]
-        finished = subprocess.run([*command, *sys.argv[1:]], check=False)
-        known = read_known_red()
-        status_by_name = collect(report)
+        finished = subprocess.run(
+            [*command, str(feature)],
+            check=False,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+        status_by_name = collect(report) if report.exists() else {}
+    if finished.returncode and all(each == "passed" for each in status_by_name.values()):
+        status_by_name[f"{feature}: behave"] = f"ended with status {finished.returncode}"
+    return status_by_name, finished.stdout
+
+
+def find_features(paths: list[str]) -> list[pathlib.Path]:
+    """Return the feature files, those that start processes first since they take longest."""
+    found = []
+    for path in map(pathlib.Path, paths):
+        found += sorted(path.glob("*.feature")) if path.is_dir() else [path]
+    return sorted(found, key=lambda each: (not each.name.startswith("faults_"), each.name))
+
+
+def main() -> int:
+    """Run behave on the given paths; return the exit status."""
+    known = read_known_red()
+    status_by_name: dict[str, str] = {}
+    features = find_features(sys.argv[1:])
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        for feature, (statuses, output) in zip(
+            features, pool.map(run_feature, features), strict=True
+        ):
+            status_by_name |= statuses
+            failed = any(each != "passed" for each in statuses.values())
+            print(f"{feature.name}: {len(statuses)} scenarios{', not all passed' * failed}")
+            if failed:
+                print(output)
     passed, problems = judge(status_by_name, known)
-    if finished.returncode and not problems and not known:
-        problems.append(f"behave ended with status {finished.returncode}")
     for name in known:
         print(f"known red: {name}")
     for problem in problems:
