--- a/features/fault_world.py
+++ b/features/fault_world.py
@@ -371,7 +371,7 @@
 def _left_at_entry(status: dict) -> dict:
     dispatcher = status.get("dispatcher", {})
     counts = {"jobs": status.get("jobs"), "open_requests": status.get("open_requests")}
-    for key in ("jobs", "queued", "in_flight", "in_flight_by_buyer"):
+    for key in ("jobs", "queued", "in_flight", "use_by_buyer"):
         counts[f"dispatcher {key}"] = dispatcher.get(key)
     return {key: value for key, value in counts.items() if value not in (0, {})}
 
