Bound the ids that a missing agent may have started

Cause: after a takeover, a job of the last 6 s whose tasks no agent reports failed as may have run whenever any incarnation was listed that could not be asked, also one that had been stopped or replaced minutes ago. Change: an agent's last message says up to which id time it has started jobs; its row keeps this and the time of its end; each missing agent has its own horizon. Listing an agent changes a row that the fence path checks, and tells the agent the shards' epochs.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -162,3 +162,21 @@
     Then the ownership peers of "b" under "one" are "p"
     And the ownership peers of "b" under "two" are "q"
     And the ownership peers of "b" under "three" are ""
+
+  # Guards against jobs that fail as may have run for as long as a restarted agent stays listed,
+  # and against a start by an agent that an owner could still reach.
+  Scenario Outline: an agent that ended <ended> ms holds no later job
+    Given the ownership agent a is missing, ended at <ended> ms with ids up to <latest> ms
+    Then the ownership rule lets an unreported task with id time <id_time> ms <start>
+    And the ownership fence path <path> for the agent
+
+    Examples: takeover at 100000 ms, 3000 ms of heartbeat limit and 6000 ms of clock skew
+      | ended | latest | id_time | start     | path    |
+      | 0     | 0      | 106000  | not start | waits   |
+      | 0     | 0      | 106001  | start     | waits   |
+      | 50000 | 0      | 59000   | not start | goes on |
+      | 50000 | 0      | 59001   | start     | goes on |
+      | 99000 | 0      | 106000  | not start | waits   |
+      | 99000 | 0      | 106001  | start     | waits   |
+      | 99000 | 98500  | 98500   | not start | waits   |
+      | 99000 | 98500  | 98501   | start     | waits   |
--- a/features/schedule_agent.py
+++ b/features/schedule_agent.py
@@ -226,6 +226,8 @@
             case _wire.Cancel():
                 self.executor.on_cancel(link, message)
             case _wire.Listed() if message.incarnation == self.incarnation:
+                for shard, epoch in message.epochs.items():
+                    self.ledger.fence(shard, epoch, self.ledger.owner_of(shard))
                 self.listed = True
                 for each in self.session_by_entry.values():
                     each.send_up(self.status())
--- a/features/schedule_world.py
+++ b/features/schedule_world.py
@@ -212,9 +212,12 @@
     async def _list_agent(self, session: Session) -> None:
         while self.alive and not session.closed and not session.listed:
             try:
+                epochs = {}
                 if self.world.rules.list_agents:
-                    await self.registry.agent_rows.list(session.agent_id, session.incarnation)
-                session.send(_wire.Listed(session.incarnation))
+                    epochs = await self.registry.agent_rows.list(
+                        session.agent_id, session.incarnation
+                    )
+                session.send(_wire.Listed(session.incarnation, epochs))
                 return
             except (_table.TableError, _table.ConflictError):
                 await asyncio.sleep(0.5)
--- a/src/daisyfall/_wire.py
+++ b/src/daisyfall/_wire.py
@@ -98,9 +98,10 @@
 
 @_message(11)
 class Listed:
-    """Entry to agent: the table lists this incarnation."""
+    """Entry to agent: the table lists this incarnation; `epochs` is by shard, at that time."""
 
     incarnation: str
+    epochs: dict = attrs.Factory(dict)
 
 
 @_message(12)
@@ -204,6 +205,18 @@
     seen_epoch: int
 
 
+@_message(25)
+class Stopped:
+    """Agent to entry, last message: this incarnation starts nothing any more.
+
+    `latest_id_ms` is the latest time in the ids of the jobs that it has started, in ms since
+    the Unix epoch; 1 if there were none.
+    """
+
+    incarnation: str
+    latest_id_ms: int
+
+
 @_message(24)
 class Cancelled:
     """Agent to entry: what had not started, `[[buyer, job_id, [index, ...]], ...]`."""
--- a/src/daisyfall/connection/_fencer.py
+++ b/src/daisyfall/connection/_fencer.py
@@ -29,7 +29,7 @@
             self._changed.set()
 
     async def fence(
-        self, epochs: dict[int, int], listed: set[_ownership.Holder]
+        self, epochs: dict[int, int], listed: _ownership.Listed
     ) -> dict[int, set[_ownership.Holder]]:
         """Fence the shards; return the listed (agent, incarnation) without an answer, by shard."""
         for item in epochs.items():
@@ -48,13 +48,13 @@
             except TimeoutError:
                 break
         return {
-            shard: listed - self._answered_by_epoch.pop((shard, epoch))
+            shard: set(listed) - self._answered_by_epoch.pop((shard, epoch))
             for shard, epoch in epochs.items()
         }
 
-    def _waiting(self, epochs: dict[int, int], listed: set[_ownership.Holder]) -> bool:
-        expected = listed
+    def _waiting(self, epochs: dict[int, int], listed: _ownership.Listed) -> bool:
+        expected = {holder for holder, ending in listed.items() if not ending.at_ms}
         if _clock.monotonic() - self._started_at > SETTLE_SECONDS:
             sessions = self._delivery.session_by_id.values()
-            expected = listed & {(each.agent_id, each.incarnation) for each in sessions}
+            expected &= {(each.agent_id, each.incarnation) for each in sessions}
         return any(expected - self._answered_by_epoch[item] for item in epochs.items())
--- a/src/daisyfall/process/_agent.py
+++ b/src/daisyfall/process/_agent.py
@@ -207,6 +207,8 @@
 
     def _on_listed(self, listed: _wire.Listed) -> None:
         if listed.incarnation == self.incarnation:
+            for shard, epoch in listed.epochs.items():
+                self._ledger.fence(shard, epoch, self._ledger.owner_of(shard))
             self._is_listed = True
             self._evaluate()
 
@@ -338,6 +340,7 @@
 
     async def _close(self) -> None:
         self.runner_watch.close()
+        self._links.broadcast(_wire.Stopped(self.incarnation, self._ledger.latest_id_ms))
         try:
             async with asyncio.timeout(CLOSE_LIMIT_SECONDS):
                 await self._links.close()
--- a/src/daisyfall/process/_agent_rows.py
+++ b/src/daisyfall/process/_agent_rows.py
@@ -8,48 +8,57 @@
 # Agents keep starts for a minute longer than ids are accepted.
 EXTRA_RETENTION_MS = 60_000
 
+LISTING_KEY = "listing"
+
 
 @attrs.frozen
 class AgentRecord:
-    """Row of one agent: the listed incarnation and the superseded ones, `[[id, at_ms], ...]`."""
+    """Row of one agent: the listed incarnation, and the superseded ones with their ends.
+
+    `ending` is that of the listed incarnation, if it has said that it stops.
+    """
 
     id: str
     incarnation: str
-    earlier: tuple[tuple[str, int], ...] = ()
+    earlier: tuple[tuple[str, _ownership.Ending], ...] = ()
+    ending: _ownership.Ending = _ownership.RUNNING
     row_version: int = attrs.field(default=0, eq=False)
 
     def superseded_by(self, incarnation: str, at_ms: int, retention_ms: int) -> "AgentRecord":
         """Return the record after a restart of the agent; forget what is past the retention."""
-        kept = [each for each in self.earlier if each[1] > at_ms - retention_ms]
+        kept = [each for each in self.earlier if each[1].at_ms > at_ms - retention_ms]
         if self.incarnation and self.incarnation != incarnation:
-            kept.append((self.incarnation, at_ms))
-        return AgentRecord(self.id, incarnation, tuple(kept), self.row_version)
+            ending = self.ending if self.ending.at_ms else _ownership.Ending(at_ms)
+            kept.append((self.incarnation, ending))
+        return AgentRecord(self.id, incarnation, tuple(kept), row_version=self.row_version)
 
     def as_value(self) -> dict:
         """Return the row's value."""
         return {
             "id": self.id,
             "incarnation": self.incarnation,
-            "earlier": [list(each) for each in self.earlier],
+            "earlier": [[each, *attrs.astuple(ending)] for each, ending in self.earlier],
+            "ending": list(attrs.astuple(self.ending)),
         }
 
 
 def agent_record(value: dict, row_version: int) -> AgentRecord:
     """Return the record of an agent's row."""
-    earlier = tuple((incarnation, at_ms) for incarnation, at_ms in value["earlier"])
-    return AgentRecord(value["id"], value["incarnation"], earlier, row_version)
+    earlier = tuple((each[0], _ownership.Ending(*each[1:])) for each in value["earlier"])
+    ending = _ownership.Ending(*value["ending"])
+    return AgentRecord(value["id"], value["incarnation"], earlier, ending, row_version)
 
 
 def listed_incarnations(
     records: list[AgentRecord], now_ms: int, retention_ms: int
-) -> set[_ownership.Holder]:
+) -> _ownership.Listed:
     """Return every (agent, incarnation) that may hold starts of jobs within the retention."""
-    listed = set()
+    listed = {}
     for record in records:
-        listed.add((record.id, record.incarnation))
-        for incarnation, superseded_ms in record.earlier:
-            if superseded_ms > now_ms - retention_ms:
-                listed.add((record.id, incarnation))
+        listed[record.id, record.incarnation] = record.ending
+        for incarnation, ending in record.earlier:
+            if ending.at_ms > now_ms - retention_ms:
+                listed[record.id, incarnation] = ending
     return listed
 
 
@@ -62,25 +71,53 @@
             jobs.retention_ms + jobs.clock_skew_ms + jobs.clock_tolerance_ms + EXTRA_RETENTION_MS
         )
 
-    async def read(self) -> set[tuple[str, str]]:
-        """Return every listed (agent, incarnation) that may hold starts."""
-        rows = await self._table.read([], [_ownership.AGENT_PREFIX])
+    async def read(self) -> tuple[_ownership.Listed, int]:
+        """Return every listed (agent, incarnation) that may hold starts, and the list's version.
+
+        The version changes with each incarnation that is listed.
+        """
+        rows = await self._table.read([LISTING_KEY], [_ownership.AGENT_PREFIX])
+        version = rows.pop(LISTING_KEY, _table.ABSENT).version
         records = [agent_record(row.value, row.version) for row in rows.values()]
-        return listed_incarnations(records, _clock.wall_ms(), self._keep_ms)
+        return listed_incarnations(records, _clock.wall_ms(), self._keep_ms), version
 
-    async def list(self, agent_id: str, incarnation: str) -> None:
+    async def list(self, agent_id: str, incarnation: str) -> dict[int, int]:
         """Write the agent's incarnation into its row before its first use (rule 2).
 
-        Raises `TableError` or `ConflictError`; the caller tries again.
+        Return the shards' epochs after that: an owner of a lower one was taken over before
+        the agent was listed, and may not know it. Raises `TableError` or `ConflictError`;
+        the caller tries again.
         """
         key = _ownership.AGENT_PREFIX + agent_id
         row = (await self._table.read([key], [])).get(key, _table.ABSENT)
         record = AgentRecord(agent_id, "")
         if row.version:
             record = agent_record(row.value, row.version)
-        if record.incarnation == incarnation:
+        if record.incarnation != incarnation:
+            listed = record.superseded_by(incarnation, _clock.wall_ms(), self._keep_ms)
+            await self._table.transact(
+                [_table.Check(key, row.version)],
+                [
+                    _table.Write(key, listed.as_value()),
+                    _table.Write(LISTING_KEY, {"agent": agent_id}),
+                ],
+            )
+        shards = await self._table.read([], [_ownership.SHARD_PREFIX])
+        return {each.value["shard"]: each.value["epoch"] for each in shards.values()}
+
+    async def end(self, agent_id: str, incarnation: str, latest_id_ms: int) -> None:
+        """Note that an incarnation has stopped for good; several entries may do so.
+
+        Raises `TableError` or `ConflictError`; without the note it counts as missing.
+        """
+        key = _ownership.AGENT_PREFIX + agent_id
+        row = (await self._table.read([key], [])).get(key, _table.ABSENT)
+        if not row.version:
             return
-        listed = record.superseded_by(incarnation, _clock.wall_ms(), self._keep_ms)
-        await self._table.transact(
-            [_table.Check(key, row.version)], [_table.Write(key, listed.as_value())]
-        )
+        record = agent_record(row.value, row.version)
+        if record.incarnation == incarnation and not record.ending.at_ms:
+            ending = _ownership.Ending(_clock.wall_ms(), latest_id_ms)
+            ended = attrs.evolve(record, ending=ending)
+            await self._table.transact(
+                [_table.Check(key, row.version)], [_table.Write(key, ended.as_value())]
+            )
--- a/src/daisyfall/process/_entry.py
+++ b/src/daisyfall/process/_entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import random
 import signal
 
@@ -88,6 +89,7 @@
             metrics=self.metrics,
             peer_versions=self.peers.version_by_id,
         )
+        self.delivery.agent_stopped = self._end_agent
         self.registry.calls = _registry.PeerCalls(
             self.peers.promise, self.peers.query, self.fencer.fence, self.peers.ping_all
         )
@@ -169,12 +171,20 @@
     async def _list_agent(self, session: _agent_session.AgentSession) -> None:
         while not session.closed and not session.listed:
             try:
-                await self.registry.agent_rows.list(session.agent_id, session.incarnation)
-                session.send(_wire.Listed(session.incarnation))
+                epochs = await self.registry.agent_rows.list(session.agent_id, session.incarnation)
+                session.send(_wire.Listed(session.incarnation, epochs))
                 return
             except (_table.TableError, _table.ConflictError):
                 await asyncio.sleep(self.settings.lease.poll_ms / 1000)
 
+    def _end_agent(self, session: _agent_session.AgentSession, latest_id_ms: int) -> None:
+        self._spawn(self._note_end(session.agent_id, session.incarnation, latest_id_ms))
+
+    async def _note_end(self, agent_id: str, incarnation: str, latest_id_ms: int) -> None:
+        # Another entry may be first, and without the note the agent only counts as missing.
+        with contextlib.suppress(_table.TableError, _table.ConflictError):
+            await self.registry.agent_rows.end(agent_id, incarnation, latest_id_ms)
+
     def _roster(self, session: _agent_session.AgentSession) -> _wire.Roster:
         entries = [
             [entry.id, entry.address]
--- a/src/daisyfall/process/_registry.py
+++ b/src/daisyfall/process/_registry.py
@@ -61,7 +61,7 @@
 
     promise: Callable[[Holder, Holder, float], Awaitable[bool]]
     query: Callable[[Holder, Holder], Awaitable[float | None]]
-    fence: Callable[[dict[int, int], set[Holder]], Awaitable[dict[int, set[Holder]]]]
+    fence: Callable[[dict[int, int], _ownership.Listed], Awaitable[dict[int, set[Holder]]]]
     announce_release: Callable[[], None]
 
 
@@ -240,23 +240,25 @@
             task.add_done_callback(self._activations.discard)
 
     async def _fence_and_activate(self, holdings: list[_ownership.Holding]) -> None:
-        listed = await self._read_listed_with_patience()
+        listed, _ = await self._read_listed_with_patience()
         epochs = {holding.shard: holding.epoch for holding in holdings}
         missing_by_shard = await self.calls.fence(epochs, listed)
-        jobs = self._settings.jobs
-        horizon = _clock.wall_ms() + jobs.clock_skew_ms + jobs.clock_tolerance_ms
+        jobs, now_ms = self._settings.jobs, _clock.wall_ms()
+        skew_ms = jobs.clock_skew_ms + jobs.clock_tolerance_ms
         for holding in holdings:
             if self.holding_by_shard.get(holding.shard) is not holding:
                 continue
-            holding.missing = missing_by_shard[holding.shard]
-            holding.horizon_ms = horizon
+            missing = missing_by_shard[holding.shard]
+            holding.horizon_by_missing = _ownership.horizons(
+                missing, listed, now_ms, self._settings.lease.heartbeat_limit_ms, skew_ms
+            )
             holding.active = True
-            logger.bind(
-                shard=holding.shard, epoch=holding.epoch, missing=len(holding.missing)
-            ).info("shard taken")
+            logger.bind(shard=holding.shard, epoch=holding.epoch, missing=len(missing)).info(
+                "shard taken"
+            )
             self._events.on_active(holding.shard)
 
-    async def _read_listed_with_patience(self) -> set[Holder]:
+    async def _read_listed_with_patience(self) -> tuple[_ownership.Listed, int]:
         while True:
             try:
                 return await self.agent_rows.read()
@@ -318,17 +320,27 @@
     async def _take_after_fence(
         self, shards: list[_ownership.Acquire], previous: _ownership.EntryRecord | None
     ) -> None:
-        listed = await self.agent_rows.read()
+        listed, version = await self.agent_rows.read()
         epochs = {each.shard: each.epoch for each in shards}
         missing = await self.calls.fence(epochs, listed)
-        free = [each for each in shards if not missing[each.shard]]
+        now_ms, limit_ms = _clock.wall_ms(), self._settings.lease.heartbeat_limit_ms
+        free = [
+            each
+            for each in shards
+            if not _ownership.unfenced(missing[each.shard], listed, now_ms, limit_ms)
+        ]
         if len(free) < len(shards):
             logger.bind(shards=len(shards) - len(free)).debug("takeover waits for listed agents")
         if free:
-            await self._take(free, previous)
+            # An agent that was listed since then has not been fenced.
+            unchanged = _table.Check(_agent_rows.LISTING_KEY, version)
+            await self._take(free, previous, unchanged)
 
     async def _take(
-        self, shards: list[_ownership.Acquire], previous: _ownership.EntryRecord | None
+        self,
+        shards: list[_ownership.Acquire],
+        previous: _ownership.EntryRecord | None,
+        *more_checks: _table.Check,
     ) -> None:
         mine, at_ms = self.holder, _clock.wall_ms()
         records = [
@@ -337,7 +349,7 @@
         ]
         checks, writes = _ownership_rows.take(records, previous)
         try:
-            versions = await self._table.transact(checks, writes)
+            versions = await self._table.transact([*checks, *more_checks], writes)
         except _table.ConflictError:
             logger.bind(shards=len(shards)).info("another entry was first to take shards")
             self._poke.set()
--- a/src/daisyfall/request/_delivery.py
+++ b/src/daisyfall/request/_delivery.py
@@ -268,6 +268,8 @@
         match message:
             case _wire.Results():
                 self._take_results(session, message)
+            case _wire.Stopped(latest_id_ms=latest_id_ms):
+                self.agent_stopped(session, latest_id_ms)
             case _wire.AgentStatus():
                 self._take_status(session, message)
             case _wire.FenceReport():
@@ -375,7 +377,7 @@
         count = self._settings.jobs.shard_count
         for key in [k for k in waiting if _work.shard_of(k, count) == report.shard]:
             self._reconcile(session, key, waiting.pop(key), None)
-        holding.missing.discard((session.agent_id, session.incarnation))
+        holding.horizon_by_missing.pop((session.agent_id, session.incarnation), None)
         self.fence_answered(session, report.shard, report.epoch)
 
     def _reconcile(
@@ -395,5 +397,8 @@
                 session.agent_id, key, index, "start_lost", _clock.monotonic()
             )
 
+    def agent_stopped(self, session, latest_id_ms: int) -> None:
+        """Note that an agent has stopped for good; the entry replaces this."""
+
     def fence_answered(self, session, shard: int, epoch: int) -> None:
         """Note a complete fence report; the fencer replaces this."""
--- a/src/daisyfall/request/_ledger.py
+++ b/src/daisyfall/request/_ledger.py
@@ -15,7 +15,7 @@
 import attrs
 import cbor2
 
-from daisyfall import _wire
+from daisyfall import _ids, _wire
 from daisyfall.request import _work
 
 # Why a Start is refused, as in `StartRefused.reason`.
@@ -27,6 +27,7 @@
 # Memory of one kept result besides its value: bytes object, tuple, dict slot and index.
 RESULT_OVERHEAD_BYTES = 200
 REPORT_JOBS = 500  # jobs in one FenceReport, so that a frame stays far below the size limit
+_LATEST_ID_MS = (1 << 48) - 1  # stands for an id without a time
 TASK_COUNT_LIMIT = 65_536  # bounds the bitmaps that a wrong message could ask for
 TASK_FIELDS = 6  # of a task item; later versions may add some at the end
 # A job is forgotten this long after the retention time, which covers clock differences.
@@ -83,6 +84,8 @@
         self._job_by_key: collections.OrderedDict[_work.Key, _Job] = collections.OrderedDict()
         self._with_results: collections.OrderedDict[_work.Key, _Job] = collections.OrderedDict()
         self._by_shard: dict[int, dict[_work.Key, _Job]] = collections.defaultdict(dict)
+        # Latest time in the ids of accepted jobs, in ms since the Unix epoch; 1 for none.
+        self.latest_id_ms = 1
         self.result_bytes = 0
         self.evicted_results = 0
 
@@ -142,6 +145,7 @@
         job = self._job_by_key.get(key)
         if job is None:
             job = self._add(key, start, now)
+            self.latest_id_ms = max(self.latest_id_ms, _id_time_ms(start.job_id))
         tasks = self._queue_new(job, start.tasks)
         self._touch(key, job, now)
         return Accepted(tasks, self._repeated(start), raised)
@@ -296,6 +300,13 @@
         del self._by_shard[job.shard][key]
 
 
+def _id_time_ms(job_id: str) -> int:
+    try:
+        return _ids.job_id_time_ms(job_id)
+    except ValueError:
+        return _LATEST_ID_MS
+
+
 def _is_task_item(item: object, task_count: int) -> bool:
     if not isinstance(item, list) or len(item) < TASK_FIELDS:
         return False
--- a/src/daisyfall/request/_operator_api.py
+++ b/src/daisyfall/request/_operator_api.py
@@ -197,7 +197,8 @@
         await self._write(_ownership.AGENT_PREFIX + agent_id, None)
         await self._write(_ownership.WISH_PREFIX + agent_id, None)
         for holding in self._registry.holding_by_shard.values():
-            holding.missing = {each for each in holding.missing if each[0] != agent_id}
+            for holder in [each for each in holding.horizon_by_missing if each[0] == agent_id]:
+                del holding.horizon_by_missing[holder]
         self._registry.poke()
         return web.json_response({"id": agent_id, "removed": True})
 
--- a/src/daisyfall_standins/verdict.py
+++ b/src/daisyfall_standins/verdict.py
@@ -63,7 +63,11 @@
             stderr=subprocess.STDOUT,
             text=True,
         )
-        status_by_name = collect(report) if report.exists() else {}
+        try:
+            status_by_name = collect(report)
+        except (OSError, ValueError) as error:
+            # behave ended before its report did.
+            status_by_name = {f"{feature}: report": f"unreadable ({error})"}
     if finished.returncode and all(each == "passed" for each in status_by_name.values()):
         status_by_name[f"{feature}: behave"] = f"ended with status {finished.returncode}"
     return status_by_name, finished.stdout
