Split missing agents and job events out of long modules

Change: _missing.py, _job_events.py; removal of silent rows moves to _membership.py. No behaviour changed.

--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -6,7 +6,7 @@
 from behave import given, step, then, when
 
 from daisyfall import _ids
-from daisyfall.process import _agent_rows, _ownership
+from daisyfall.process import _agent_rows, _missing, _ownership
 
 LEASE = 2.0
 MARGIN = 0.2
@@ -172,10 +172,10 @@
 def miss_agent(context, agent, ended, latest):
     now = 100_000
     holder = (agent, "one")
-    listed = {holder: _ownership.Ending(ended, latest)}
-    horizons = _ownership.horizons({holder}, listed, now, heartbeat_ms=3000, skew_ms=6000)
+    listed = {holder: _missing.Ending(ended, latest)}
+    horizons = _missing.horizons({holder}, listed, now, heartbeat_ms=3000, skew_ms=6000)
     context.holding = _ownership.Holding(SHARD, EPOCH, 1, active=True, horizon_by_missing=horizons)
-    context.unfenced = _ownership.unfenced({holder}, listed, now, heartbeat_ms=3000)
+    context.unfenced = _missing.unfenced({holder}, listed, now, heartbeat_ms=3000)
 
 
 @then("the ownership fence path {expected} for the agent")
@@ -185,7 +185,7 @@
 
 @then("the ownership rule lets an unreported task with id time {id_time:d} ms {expected}")
 def check_unreported(context, id_time, expected):
-    found = _ownership.may_start_unreported(context.holding, id_time)
+    found = _missing.may_start_unreported(context.holding, id_time)
     assert found is (expected == "start")
 
 
@@ -198,7 +198,7 @@
 @then("the ownership listed incarnations at {now:d} ms with retention {keep:d} ms are {expected}")
 def check_listed(context, now, keep, expected):
     found = _agent_rows.listed_incarnations([context.agent_row], now, keep)
-    ending_by_incarnation = {"old": _ownership.Ending(1000), "new": _ownership.RUNNING}
+    ending_by_incarnation = {"old": _missing.Ending(1000), "new": _missing.RUNNING}
     wanted = {("x", each): ending_by_incarnation[each] for each in expected.split(",")}
     assert found == wanted, found
 
--- a/src/daisyfall/connection/_fencer.py
+++ b/src/daisyfall/connection/_fencer.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from daisyfall import _clock, _wire
-from daisyfall.process import _ownership, _settings
+from daisyfall.process import _missing, _ownership, _settings
 from daisyfall.request import _delivery
 
 # An entry that has just started may not have all its agents' connections yet.
@@ -29,7 +29,7 @@
             self._changed.set()
 
     async def fence(
-        self, epochs: dict[int, int], listed: _ownership.Listed
+        self, epochs: dict[int, int], listed: _missing.Listed
     ) -> dict[int, set[_ownership.Holder]]:
         """Fence the shards; return the listed (agent, incarnation) without an answer, by shard."""
         for item in epochs.items():
@@ -52,7 +52,7 @@
             for shard, epoch in epochs.items()
         }
 
-    def _waiting(self, epochs: dict[int, int], listed: _ownership.Listed) -> bool:
+    def _waiting(self, epochs: dict[int, int], listed: _missing.Listed) -> bool:
         expected = {holder for holder, ending in listed.items() if not ending.at_ms}
         if _clock.monotonic() - self._started_at > SETTLE_SECONDS:
             sessions = self._delivery.session_by_id.values()
--- a/src/daisyfall/process/_agent_rows.py
+++ b/src/daisyfall/process/_agent_rows.py
@@ -3,7 +3,7 @@
 import attrs
 
 from daisyfall import _clock
-from daisyfall.process import _ownership, _settings, _table
+from daisyfall.process import _missing, _ownership, _settings, _table
 
 # Agents keep starts for a minute longer than ids are accepted.
 EXTRA_RETENTION_MS = 60_000
@@ -20,15 +20,15 @@
 
     id: str
     incarnation: str
-    earlier: tuple[tuple[str, _ownership.Ending], ...] = ()
-    ending: _ownership.Ending = _ownership.RUNNING
+    earlier: tuple[tuple[str, _missing.Ending], ...] = ()
+    ending: _missing.Ending = _missing.RUNNING
     row_version: int = attrs.field(default=0, eq=False)
 
     def superseded_by(self, incarnation: str, at_ms: int, retention_ms: int) -> "AgentRecord":
         """Return the record after a restart of the agent; forget what is past the retention."""
         kept = [each for each in self.earlier if each[1].at_ms > at_ms - retention_ms]
         if self.incarnation and self.incarnation != incarnation:
-            ending = self.ending if self.ending.at_ms else _ownership.Ending(at_ms)
+            ending = self.ending if self.ending.at_ms else _missing.Ending(at_ms)
             kept.append((self.incarnation, ending))
         return AgentRecord(self.id, incarnation, tuple(kept), row_version=self.row_version)
 
@@ -44,14 +44,14 @@
 
 def agent_record(value: dict, row_version: int) -> AgentRecord:
     """Return the record of an agent's row."""
-    earlier = tuple((each[0], _ownership.Ending(*each[1:])) for each in value["earlier"])
-    ending = _ownership.Ending(*value["ending"])
+    earlier = tuple((each[0], _missing.Ending(*each[1:])) for each in value["earlier"])
+    ending = _missing.Ending(*value["ending"])
     return AgentRecord(value["id"], value["incarnation"], earlier, ending, row_version)
 
 
 def listed_incarnations(
     records: list[AgentRecord], now_ms: int, retention_ms: int
-) -> _ownership.Listed:
+) -> _missing.Listed:
     """Return every (agent, incarnation) that may hold starts of jobs within the retention."""
     listed = {}
     for record in records:
@@ -71,7 +71,7 @@
             jobs.retention_ms + jobs.clock_skew_ms + jobs.clock_tolerance_ms + EXTRA_RETENTION_MS
         )
 
-    async def read(self) -> tuple[_ownership.Listed, int]:
+    async def read(self) -> tuple[_missing.Listed, int]:
         """Return every listed (agent, incarnation) that may hold starts, and the list's version.
 
         The version changes with each incarnation that is listed.
@@ -116,7 +116,7 @@
             return
         record = agent_record(row.value, row.version)
         if record.incarnation == incarnation and not record.ending.at_ms:
-            ending = _ownership.Ending(_clock.wall_ms(), latest_id_ms)
+            ending = _missing.Ending(_clock.wall_ms(), latest_id_ms)
             ended = attrs.evolve(record, ending=ending)
             await self._table.transact(
                 [_table.Check(key, row.version)], [_table.Write(key, ended.as_value())]
--- a/src/daisyfall/process/_membership.py
+++ b/src/daisyfall/process/_membership.py
@@ -1,6 +1,7 @@
 """Membership of one entry: its row in the table, its lease and its extension by promises."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -124,6 +125,16 @@
         granted = dict(zip(peers, await asyncio.gather(*calls), strict=True))
         self._extension.apply(granted, set(peers), sent_at, _clock.monotonic())
 
+    async def remove_silent(self, now: float) -> None:
+        """Delete the rows of entries that are long silent and own nothing."""
+        for entry in _ownership.plan_removals(self.view, self.record.id, now):
+            key = _ownership.ENTRY_PREFIX + entry.id
+            logger.bind(entry=entry.id).info("silent entry removed from the roster")
+            with contextlib.suppress(_table.ConflictError):
+                await self._table.transact(
+                    [_table.Check(key, entry.row_version)], [_table.Write(key, None)]
+                )
+
     async def leave(self) -> None:
         """Delete the own row; peers stop relying on this entry's promises."""
         key = _ownership.ENTRY_PREFIX + self.record.id
--- a/src/daisyfall/process/_registry.py
+++ b/src/daisyfall/process/_registry.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -17,6 +16,7 @@
     _agent_rows,
     _layout,
     _membership,
+    _missing,
     _ownership,
     _ownership_rows,
     _settings,
@@ -61,7 +61,7 @@
 
     promise: Callable[[Holder, Holder, float], Awaitable[bool]]
     query: Callable[[Holder, Holder], Awaitable[float | None]]
-    fence: Callable[[dict[int, int], _ownership.Listed], Awaitable[dict[int, set[Holder]]]]
+    fence: Callable[[dict[int, int], _missing.Listed], Awaitable[dict[int, set[Holder]]]]
     announce_release: Callable[[], None]
 
 
@@ -92,8 +92,6 @@
         self._poke = asyncio.Event()
         self._activations: set[asyncio.Task] = set()
 
-    # What the hot path asks.
-
     def usable(self, shard: int, now: float) -> _ownership.Holding | None:
         """Return the holding if tasks of the shard may be admitted and started now (rule 1)."""
         holding = self.holding_by_shard.get(shard)
@@ -115,8 +113,6 @@
         """Return this entry's row as last written."""
         return self.membership.record
 
-    # Loops.
-
     async def run(self) -> None:
         """Renew, poll and acquire until cancelled."""
         interval = self._settings.lease.poll_ms / 1000
@@ -190,7 +186,7 @@
         await self._acquire(now)
         await self._rebalance(now)
         await self._raise_epochs()
-        await self._remove_silent(now)
+        await self.membership.remove_silent(now)
 
     # Ownership.
 
@@ -249,7 +245,7 @@
             if self.holding_by_shard.get(holding.shard) is not holding:
                 continue
             missing = missing_by_shard[holding.shard]
-            holding.horizon_by_missing = _ownership.horizons(
+            holding.horizon_by_missing = _missing.horizons(
                 missing, listed, now_ms, self._settings.lease.heartbeat_limit_ms, skew_ms
             )
             holding.active = True
@@ -258,7 +254,7 @@
             )
             self._events.on_active(holding.shard)
 
-    async def _read_listed_with_patience(self) -> tuple[_ownership.Listed, int]:
+    async def _read_listed_with_patience(self) -> tuple[_missing.Listed, int]:
         while True:
             try:
                 return await self.agent_rows.read()
@@ -327,7 +323,7 @@
         free = [
             each
             for each in shards
-            if not _ownership.unfenced(missing[each.shard], listed, now_ms, limit_ms)
+            if not _missing.unfenced(missing[each.shard], listed, now_ms, limit_ms)
         ]
         if len(free) < len(shards):
             logger.bind(shards=len(shards) - len(free)).debug("takeover waits for listed agents")
@@ -386,15 +382,6 @@
         if plan and self._may_take():
             await self._take(plan, None)
 
-    async def _remove_silent(self, now: float) -> None:
-        for entry in _ownership.plan_removals(self.view, self.record.id, now):
-            key = _ownership.ENTRY_PREFIX + entry.id
-            logger.bind(entry=entry.id).info("silent entry removed from the roster")
-            with contextlib.suppress(_table.ConflictError):
-                await self._table.transact(
-                    [_table.Check(key, entry.row_version)], [_table.Write(key, None)]
-                )
-
     async def stop_owning(self) -> None:
         """Leave the roster as an owner and release every shard; the lease goes on."""
         self.membership.record = attrs.evolve(self.record, state=_ownership.STOPPING)
--- a/src/daisyfall/request/_delivery.py
+++ b/src/daisyfall/request/_delivery.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import collections
-from typing import Protocol
 
 import attrs
 from loguru import logger
@@ -16,7 +15,7 @@
 from daisyfall import _clock, _wire
 from daisyfall.connection import _agent_session
 from daisyfall.process import _metrics, _registry, _settings
-from daisyfall.request import _dispatcher, _reports, _retries, _upstreams, _work
+from daisyfall.request import _dispatcher, _job_events, _reports, _retries, _upstreams, _work
 
 OUTCOME_NAMES = {
     _wire.DONE: "done",
@@ -29,30 +28,6 @@
 Indices = dict[_work.Key, set[int]]
 
 
-class JobEvents(Protocol):
-    """What the owner of the jobs does with the agents' messages."""
-
-    reports: _reports.Reports
-
-    def knows(self, key: _work.Key) -> bool:
-        """Tell whether the job was submitted here."""
-
-    def knows_running(self, key: _work.Key) -> bool:
-        """Tell whether the job was submitted here and is not settled."""
-
-    def task_sent(self, key: _work.Key) -> None:
-        """Note that a start of the job leaves for an agent."""
-
-    def task_result(self, agent_id, key, index, *, outcome, value, run_ms) -> None:
-        """Take one task's final outcome."""
-
-    def task_not_started(self, agent_id, key, index, reason, now) -> None:
-        """Queue a task again that provably did not start."""
-
-    def end_overdue(self, now: float) -> None:
-        """Fail the jobs whose deadline has passed."""
-
-
 @attrs.define(eq=False)
 class _Absent:
     """Tasks at an agent whose connection has ended."""
@@ -76,7 +51,7 @@
         self._registry = registry
         self._dispatcher = dispatcher
         self._metrics = metrics
-        self._jobs: JobEvents | None = None
+        self._jobs: _job_events.JobEvents | None = None
         self.session_by_id: dict[str, _agent_session.AgentSession] = {}
         self._sent_by_agent: dict[str, Indices] = {}
         self._absent_by_agent: dict[str, _Absent] = {}
@@ -85,7 +60,7 @@
         self._wakeup: asyncio.TimerHandle | None = None
         self.upstreams = _upstreams.Upstreams(settings, dispatcher, self.session_by_id)
 
-    def bind(self, jobs: JobEvents) -> None:
+    def bind(self, jobs: _job_events.JobEvents) -> None:
         """Name the owner of the jobs."""
         self._jobs = jobs
 
--- a/src/daisyfall/request/_owner.py
+++ b/src/daisyfall/request/_owner.py
@@ -11,7 +11,7 @@
 import attrs
 
 from daisyfall import _clock, _ids, _wire, errors
-from daisyfall.process import _metrics, _ownership, _registry, _settings
+from daisyfall.process import _metrics, _missing, _ownership, _registry, _settings
 from daisyfall.request import _delivery, _dispatcher, _jobs, _reports, _submission, _work
 
 EXPIRY_INTERVAL_SECONDS = 1.0
@@ -78,7 +78,7 @@
         reports = self.reports.of(job.key)
         if reports:
             self._join_reported(job, reports, holding)
-        elif not _ownership.may_start_unreported(holding, submission.id_time_ms):
+        elif not _missing.may_start_unreported(holding, submission.id_time_ms):
             # Not remembered: the missing agent may come back and tell what it started.
             self._fail(job, errors.DispatchError(errors.Kind.START_UNKNOWN))
         else:
@@ -106,7 +106,7 @@
             raise _conflict(job.work.job_id)
         started = functools.reduce(operator.or_, (each.started for each in reports.values()))
         unreported = [task for task in job.work.tasks if not started >> task.index & 1]
-        if unreported and not _ownership.may_start_unreported(holding, job.id_time_ms):
+        if unreported and not _missing.may_start_unreported(holding, job.id_time_ms):
             self._fail(job, errors.DispatchError(errors.Kind.START_UNKNOWN))
             return
         self.reports.forget(job.work.shard, job.key)
