--- a/features/dispatch_faults.feature
+++ b/features/dispatch_faults.feature
@@ -51,3 +51,11 @@
     When the dispatcher admits a job "a1" of "ana" with 1 tasks
     Then the dispatcher sends a refused task again after 10 to 30, 20 to 60 and 40 to 120 ms
     And the dispatcher gives up refused tasks within its floor of 20 and 10 percent
+
+  # Guards against a start with an empty payload: an adopted task is known by its index only.
+  Scenario: an adopted task that did not start is sent again with its payload once its job is joined
+    Given the dispatcher has 2 agents with 4 slots
+    And the dispatcher adopts tasks 0, 1 of job "a1" of "ana" at "agent0"
+    When the dispatcher joins job "a1" of "ana" with 3 tasks, of which 2 was not reported
+    And the dispatcher hears that task 1 of job "a1" of "ana" did not start
+    Then the dispatcher has sent exactly tasks 1, 2 of job "a1" with their payloads
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -180,3 +180,36 @@
     never, in_flight = bench.dispatcher.remove_work((buyer, job))
     counts = (len(never), sum(len(each) for each in in_flight.values()))
     assert counts == (unsent, sent), f"unsent and sent: {counts}, expected {(unsent, sent)}"
+
+
+@given('the dispatcher adopts tasks {indices:Numbers} of job "{job}" of "{buyer}" at "{agent}"')
+def adopt(context, indices, job, buyer, agent):
+    context.bench.set_plan(buyer)
+    context.bench.dispatcher.adopt((buyer, job), indices, agent, None)
+
+
+@when('the dispatcher joins job "{job}" of "{buyer}" with 3 tasks, of which 2 was not reported')
+def join(context, job, buyer):
+    bench = context.bench
+    tasks = [_work.Task(index, "label", f"payload {index}", 100) for index in range(3)]
+    work = _work.Work(buyer, job, 0, tasks, bench.now + 20.0)
+    bench.dispatcher.join(work)
+    rest = _work.Work(buyer, job, 0, tasks[2:], work.deadline)
+    bench.dispatcher.admit(rest, bench.now, admitted=True)
+    bench.now += 0.1  # the rate bucket of a new owner is empty
+    context.assignments = bench.dispatcher.assign(bench.now)
+
+
+@when('the dispatcher hears that task {index:d} of job "{job}" of "{buyer}" did not start')
+def hear_not_started(context, index, job, buyer):
+    bench = context.bench
+    assert bench.dispatcher.not_started((buyer, job), index, "draining", bench.now)
+    context.assignments += bench.dispatcher.assign(bench.now)
+
+
+@then('the dispatcher has sent exactly tasks {indices:Numbers} of job "{job}" with their payloads')
+def check_payloads(context, indices, job):
+    sent = [task for each in context.assignments for task in each.tasks]
+    assert {each.work.job_id for each in context.assignments} == {job}, context.assignments
+    assert sorted(task.index for task in sent) == indices, sent
+    assert all(task.payload == f"payload {task.index}" for task in sent), sent
--- a/src/daisyfall/request/_dispatcher.py
+++ b/src/daisyfall/request/_dispatcher.py
@@ -185,6 +185,25 @@
                 entries.append(_admission.entry(key[0], task, self._estimates))
         self._flight.send(job, agent, entries, _LONG_AGO)
 
+    def join(self, work: _work.Work) -> None:
+        """Take in the tasks of a job of which some were adopted without knowing them.
+
+        One of them that turns out not to have started is then sent again as it is.
+        """
+        job = self._job_by_key.get(work.key)
+        if job is None:
+            job = self._flight.new_job(work.key, self._buyer(work.buyer, work.shard))
+        job.work = work
+        entries_by_agent: dict[_groups.Agent, list[_queue.Entry]] = {}
+        for task in work.tasks:
+            if task.index in job.sent:
+                agent, _ = self._flight.release(job, task.index)
+                entry = _admission.entry(work.buyer, task, self._estimates)
+                entries_by_agent.setdefault(agent, []).append(entry)
+        for agent, entries in entries_by_agent.items():
+            self._flight.send(job, agent, entries, _LONG_AGO)
+        self._watch_deadline(job)
+
     def assign(self, now: float) -> list[Assignment]:
         """Return the starts that are due now; each is counted as sent."""
         self._router.now = now
--- a/src/daisyfall/request/_owner.py
+++ b/src/daisyfall/request/_owner.py
@@ -111,6 +111,7 @@
             return
         self.reports.forget(job.work.shard, job.key)
         job.sent = job.joined = True
+        self._dispatcher.join(job.work)
         self.jobs.add(job)
         for agent_id, report in reports.items():
             running = _reports.bits_of(report.started & ~report.finished)
