Forget a joined job that is idle, and take releases into the own view

Cause: joining a job all of whose tasks had ended left an empty job in the dispatcher, so its count never returned to the start level; the scenario "the owner dies while the table is down" waited for it in vain. After a release the own view still named this entry, so it tried to take the shards back and lost the race each time. Change: an idle job is forgotten after the join; a release changes the view.

--- a/features/dispatch_faults.feature
+++ b/features/dispatch_faults.feature
@@ -59,3 +59,4 @@
     When the dispatcher joins job "a1" of "ana" with 3 tasks, of which 2 was not reported
     And the dispatcher hears that task 1 of job "a1" of "ana" did not start
     Then the dispatcher has sent exactly tasks 1, 2 of job "a1" with their payloads
+    And the dispatcher keeps nothing of job "b1" of "bela" that is joined after its end
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -213,3 +213,14 @@
     assert {each.work.job_id for each in context.assignments} == {job}, context.assignments
     assert sorted(task.index for task in sent) == indices, sent
     assert all(task.payload == f"payload {task.index}" for task in sent), sent
+
+
+@then('the dispatcher keeps nothing of job "{job}" of "{buyer}" that is joined after its end')
+def check_ended_join(context, job, buyer):
+    # Guards against a count of jobs that never returns to its start level after a takeover.
+    bench = context.bench
+    before = bench.dispatcher.snapshot()
+    bench.dispatcher.join(
+        _work.Work(buyer, job, 0, [_work.Task(0, "label", None, 100)], bench.now + 20.0)
+    )
+    assert bench.dispatcher.snapshot() == before, bench.dispatcher.snapshot()
--- a/src/daisyfall/process/_ownership.py
+++ b/src/daisyfall/process/_ownership.py
@@ -197,6 +197,12 @@
         active = [each.id for each in self.entry_by_id.values() if each.state == ACTIVE]
         return _ids.rendezvous_winner(str(shard), active) if active else ""
 
+    def released(self, shard: int, row_version: int) -> None:
+        """Take in a release that was written since the last snapshot."""
+        self.shard_by_number[shard] = attrs.evolve(
+            self.shard_by_number[shard], owner="", owner_incarnation="", row_version=row_version
+        )
+
     def owner_of(self, shard: int) -> ShardRecord | None:
         """Return the shard's row if it names an owner."""
         record = self.shard_by_number.get(shard)
--- a/src/daisyfall/process/_registry.py
+++ b/src/daisyfall/process/_registry.py
@@ -370,7 +370,9 @@
         checks, writes = _ownership_rows.release(holdings, _clock.wall_ms())
         logger.bind(shards=len(shards)).info("shards released")
         try:
-            await self._table.transact(checks, writes)
+            versions = await self._table.transact(checks, writes)
+            for shard in shards:
+                self.view.released(shard, versions[f"{_ownership.SHARD_PREFIX}{shard}"])
         except _table.ConflictError:
             self._poke.set()
         finally:
--- a/src/daisyfall/request/_dispatcher.py
+++ b/src/daisyfall/request/_dispatcher.py
@@ -192,7 +192,7 @@
         """
         job = self._job_by_key.get(work.key)
         if job is None:
-            job = self._flight.new_job(work.key, self._buyer(work.buyer, work.shard))
+            return
         job.work = work
         entries_by_agent: dict[_groups.Agent, list[_queue.Entry]] = {}
         for task in work.tasks:
@@ -203,6 +203,7 @@
         for agent, entries in entries_by_agent.items():
             self._flight.send(job, agent, entries, _LONG_AGO)
         self._watch_deadline(job)
+        self._flight.forget_if_idle(job)
 
     def assign(self, now: float) -> list[Assignment]:
         """Return the starts that are due now; each is counted as sent."""
