Read bitmaps by one function

Cause: the ledger and the reports each had the same function. Change: the ledger uses that of the reports. Conclusion: no behaviour changed.

--- a/src/daisyfall/request/_ledger.py
+++ b/src/daisyfall/request/_ledger.py
@@ -16,7 +16,7 @@
 import cbor2
 
 from daisyfall import _ids, _wire
-from daisyfall.request import _work
+from daisyfall.request import _reports, _work
 
 # Why a Start is refused, as in `StartRefused.reason`.
 WRONG_INCARNATION = "wrong_incarnation"
@@ -194,7 +194,7 @@
         job = self._job_by_key.get(key)
         if job is None:
             return []
-        return [self._item(key, job, index) for index in _indices(job.finished)]
+        return [self._item(key, job, index) for index in _reports.bits_of(job.finished)]
 
     def report(self, shard: int) -> list[_wire.FenceReport]:
         """Return the messages that report a shard; queued tasks of the epoch count as started."""
@@ -317,12 +317,3 @@
     """Return the indices of task items; items that have none are passed over."""
     indices = [item[0] for item in tasks if isinstance(item, list) and item]
     return [index for index in indices if isinstance(index, int) and index >= 0]
-
-
-def _indices(bitmap: int) -> list[int]:
-    found = []
-    while bitmap:
-        lowest = bitmap & -bitmap
-        found.append(lowest.bit_length() - 1)
-        bitmap ^= lowest
-    return found
