--- a/src/daisyfall/connection/_entry_link.py
+++ b/src/daisyfall/connection/_entry_link.py
@@ -51,6 +51,7 @@
         # and a FenceReport tells the owner which of the two is the later state.
         self._outbox: collections.deque = collections.deque()
         self._wake = asyncio.Event()
+        self._reported_load: tuple[int, int] = (0, 0)
         self._idle = asyncio.Event()
         self._idle.set()
         self.is_open = True
@@ -139,8 +140,18 @@
         for frame in self._frames(items):
             await self._socket.send(frame)
 
+    def report_load(self) -> bool:
+        """Send the load if it has changed since the entry was last told; tell whether it was."""
+        load = self._handler.load()
+        if load == self._reported_load:
+            return False
+        self._reported_load = load
+        self.send(_wire.Results([], *load))
+        return True
+
     def _frames(self, items: list) -> list[bytes]:
-        frame = _wire.encode(_wire.Results(items, *self._handler.load()))
+        load = self._reported_load = self._handler.load()
+        frame = _wire.encode(_wire.Results(items, *load))
         if len(frame) <= FRAME_LIMIT_BYTES or len(items) == 1:
             return [frame]
         middle = len(items) // 2
--- a/src/daisyfall/process/_agent.py
+++ b/src/daisyfall/process/_agent.py
@@ -101,6 +101,8 @@
             self._use_null_runner()
         self._links.start()
         self._spawn(self._beat())
+        if self.settings.routing.load_report_ms:
+            self._spawn(self._report_load())
 
     async def stop(self) -> None:
         """Stop gracefully: finish and deliver what runs, at most for the drain limit."""
@@ -284,6 +286,14 @@
 
     # Heartbeat and end.
 
+    async def _report_load(self) -> None:
+        # Entries share the slots: one that waits for a slot which another entry's task has left
+        # would not know of it until the next heartbeat.
+        while True:
+            await asyncio.sleep(self.settings.routing.load_report_ms / 1000)
+            sent = sum(link.report_load() for link in self._links.by_id.values())
+            self.metrics.wasted("load_report", sent)
+
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(self.settings.lease.heartbeat_ms / 1000)
--- a/src/daisyfall/process/_settings.py
+++ b/src/daisyfall/process/_settings.py
@@ -76,6 +76,9 @@
     """Choice of upstream, retries and the removal of bad runners."""
 
     policy: Annotated[str, Choice(POLICIES)] = "late_binding"
+    # Shortest time between two reports of an agent's load to an entry; 0: with results and
+    # heartbeats only. Each report counts as a wasted message.
+    load_report_ms: Annotated[int, Range(0, 10_000)] = 0
     agent_queue_ms: Annotated[int, Range(0, 10_000)] = 4
     retry_budget_percent: Annotated[int, Range(0, 100)] = 10
     retry_backoff_ms: DurationMs = 20
