Keep the row of a stopping entry that could not release its shards

Cause: read-through: an entry that stopped without being able to release its shards deleted its row. Change: leave() keeps the row while a shard names this entry; the takeover follows the ordinary rule. _read_listed has a plain name. Looked at and left: drain and stop of daisyfallctl (their signatures are the command line), Check and Write of the table stand-in (it must not share code with its client).

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -180,3 +180,13 @@
       | 99000 | 0      | 106001  | start     | waits   |
       | 99000 | 98500  | 98500   | not start | waits   |
       | 99000 | 98500  | 98501   | start     | waits   |
+
+  # Guards against a takeover that needs every listed agent after a stop that could not release.
+  Scenario Outline: the row of an entry that stops with <rows> of its shards is <action>
+    Given the ownership entry stops with <rows> of its shards
+    Then the ownership row of the entry that stops is <action>
+
+    Examples:
+      | rows        | action  |
+      | no release  | kept    |
+      | the release | deleted |
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -1,12 +1,13 @@
 """Steps on the pure decisions of ownership."""
 
+import asyncio
 import math
 
 import attrs
 from behave import given, step, then, when
 
 from daisyfall import _ids
-from daisyfall.process import _agent_rows, _missing, _ownership
+from daisyfall.process import _agent_rows, _membership, _missing, _ownership, _settings
 
 LEASE = 2.0
 MARGIN = 0.2
@@ -225,3 +226,32 @@
 @then('the ownership peers of "b" under "{incarnation}" are ""')
 def check_no_peers(context, incarnation):
     assert context.row.peers_of(incarnation) == ()
+
+
+class _WrittenKeys:
+    """A table that notes the keys of what is deleted."""
+
+    def __init__(self):
+        self.deleted = []
+
+    async def transact(self, _checks, writes):
+        self.deleted += [write.key for write in writes if write.value is None]
+        return {write.key: 0 for write in writes}
+
+
+@given("the ownership entry stops with {rows} of its shards")
+def stop_entry(context, rows):
+    context.written = _WrittenKeys()
+    identity = _membership.Identity("a", "one", "", "", "dc")
+    membership = _membership.Membership(identity, context.written, _settings.LeaseSettings())
+    record = _ownership.ShardRecord(SHARD, EPOCH, "a", "one", 0, 1)
+    membership.view.shard_by_number[SHARD] = record
+    if rows == "the release":
+        membership.view.released(SHARD, 2)
+    asyncio.run(membership.leave())
+
+
+@then("the ownership row of the entry that stops is {action}")
+def check_row(context, action):
+    expected = {"kept": [], "deleted": ["entries/a"]}[action]
+    assert context.written.deleted == expected, context.written.deleted
--- a/src/daisyfall/process/_membership.py
+++ b/src/daisyfall/process/_membership.py
@@ -136,7 +136,15 @@
                 )
 
     async def leave(self) -> None:
-        """Delete the own row; peers stop relying on this entry's promises."""
+        """Delete the own row; peers stop relying on this entry's promises.
+
+        The row stays while a shard names this entry: a taker finds in it whom to ask about
+        promises, and without it would need every listed agent.
+        """
+        owners = {(s.owner, s.owner_incarnation) for s in self.view.shard_by_number.values()}
+        if self.holder in owners:
+            logger.warning("row of this entry stays in the table: shards were not released")
+            return
         key = _ownership.ENTRY_PREFIX + self.record.id
         try:
             await self._table.transact(
--- a/src/daisyfall/process/_registry.py
+++ b/src/daisyfall/process/_registry.py
@@ -236,7 +236,7 @@
             task.add_done_callback(self._activations.discard)
 
     async def _fence_and_activate(self, holdings: list[_ownership.Holding]) -> None:
-        listed, _ = await self._read_listed_with_patience()
+        listed, _ = await self._read_listed()
         epochs = {holding.shard: holding.epoch for holding in holdings}
         missing_by_shard = await self.calls.fence(epochs, listed)
         jobs, now_ms = self._settings.jobs, _clock.wall_ms()
@@ -254,7 +254,7 @@
             )
             self._events.on_active(holding.shard)
 
-    async def _read_listed_with_patience(self) -> tuple[_missing.Listed, int]:
+    async def _read_listed(self) -> tuple[_missing.Listed, int]:
         while True:
             try:
                 return await self.agent_rows.read()
