Run on the users' platform: pool entry, pool agent and the adapter

Cause: the users want daisyfall on their platform, which has leased runners that are found by their heartbeats, a metadata store and no host for control.

Change: policy/ (pure decisions: bounds, election, room, waiting, evidence, scheduler), a pool entry and a pool agent over websockets with CBOR batches, and platform/ (settings file, store, runner calls, callers, registry, composition root). One entry schedules all pools; each entry orders the starts of its own jobs, so the scheduling entry can be replaced without the store.

--- a/src/daisyfall/_wire.py
+++ b/src/daisyfall/_wire.py
@@ -24,7 +24,9 @@
     """A message that can't be decoded."""
 
 
-def _message(tag: int):
+def message(tag: int):
+    """Return a class decorator that makes a frozen message with this tag."""
+
     def register(cls: type) -> type:
         frozen = attrs.frozen(cls)
         _BY_TAG[tag] = frozen
@@ -47,7 +49,7 @@
 ROLE_ENTRY = "entry"
 
 
-@_message(1)
+@message(1)
 class Challenge:
     """First message of the accepting side; the peer proves that it holds the shared key."""
 
@@ -56,7 +58,7 @@
     max_version: int
 
 
-@_message(2)
+@message(2)
 class Hello:
     """First message of the dialling side; the last fields describe an agent's upstream."""
 
@@ -71,7 +73,7 @@
     listed: bool = False
 
 
-@_message(3)
+@message(3)
 class Welcome:
     """The connection is accepted."""
 
@@ -80,14 +82,14 @@
     version: int
 
 
-@_message(4)
+@message(4)
 class Rejected:
     """The connection is refused and closed."""
 
     reason: str
 
 
-@_message(10)
+@message(10)
 class Roster:
     """Entry to agent, every heartbeat: the entries `[[id, url], ...]` and the operators' wish."""
 
@@ -96,7 +98,7 @@
     wish: str
 
 
-@_message(11)
+@message(11)
 class Listed:
     """Entry to agent: the table lists this incarnation; `epochs` is by shard, at that time."""
 
@@ -104,14 +106,14 @@
     epochs: dict = attrs.Factory(dict)
 
 
-@_message(12)
+@message(12)
 class Fence:
     """Entry to agent: refuse lower epochs of these shards and report; `epochs` is by shard."""
 
     epochs: dict
 
 
-@_message(13)
+@message(13)
 class Start:
     """Entry to agent: start tasks of one job.
 
@@ -128,7 +130,7 @@
     tasks: list
 
 
-@_message(14)
+@message(14)
 class Cancel:
     """Entry to agent: drop what has not started of jobs `[[buyer, job_id], ...]`."""
 
@@ -136,7 +138,7 @@
     stop_running: bool
 
 
-@_message(15)
+@message(15)
 class FetchResults:
     """Entry to agent: send the finished results of a job again."""
 
@@ -144,14 +146,14 @@
     job_id: str
 
 
-@_message(16)
+@message(16)
 class Recall:
     """Entry to agent: hand back everything that has not started."""
 
     reason: str
 
 
-@_message(20)
+@message(20)
 class AgentStatus:
     """Agent to entry, every heartbeat and on change."""
 
@@ -168,7 +170,7 @@
     runner_id: str = ""
 
 
-@_message(21)
+@message(21)
 class FenceReport:
     """Agent to entry: the jobs of a shard, `[[buyer, job_id, digest, count, started, finished]]`.
 
@@ -183,7 +185,7 @@
     last: bool
 
 
-@_message(22)
+@message(22)
 class Results:
     """Agent to entry: task result items, with the agent's load after them."""
 
@@ -192,7 +194,7 @@
     queued: int
 
 
-@_message(23)
+@message(23)
 class StartRefused:
     """Agent to entry: nothing of this start message was or will be started."""
 
@@ -205,7 +207,7 @@
     seen_epoch: int
 
 
-@_message(25)
+@message(25)
 class Stopped:
     """Agent to entry, last message: this incarnation starts nothing any more.
 
@@ -217,14 +219,14 @@
     latest_id_ms: int
 
 
-@_message(24)
+@message(24)
 class Cancelled:
     """Agent to entry: what had not started, `[[buyer, job_id, [index, ...]], ...]`."""
 
     jobs: list
 
 
-@_message(30)
+@message(30)
 class Submit:
     """Entry to owner: a submission that was checked; `tasks` as in `Start`."""
 
@@ -236,7 +238,7 @@
     wait: bool
 
 
-@_message(31)
+@message(31)
 class Lookup:
     """Entry to owner: `operation` is status, answer, explain or cancel."""
 
@@ -247,7 +249,7 @@
     wait_ms: int = 0
 
 
-@_message(32)
+@message(32)
 class PromiseRequest:
     """Owner to peer: promise not to take over from this owner for the duration."""
 
@@ -258,7 +260,7 @@
     peer_incarnation: str  # a promise of another incarnation would not be known to a taker
 
 
-@_message(33)
+@message(33)
 class PromiseQuery:
     """Taker to peer: ask how long a promise of the peer still covers this owner."""
 
@@ -268,7 +270,7 @@
     peer_incarnation: str
 
 
-@_message(34)
+@message(34)
 class Reply:
     """Answer to a request of a peer; `error` holds `[kind, detail]` or nothing."""
 
@@ -277,7 +279,7 @@
     error: list
 
 
-@_message(35)
+@message(35)
 class Ping:
     """Heartbeat between entries; the answer is a `Reply` with the peer's lists version."""
 
@@ -294,13 +296,31 @@
 def decode(data: bytes) -> Any:
     """Return the message in `data`; raise `WireError` if it is not one."""
     try:
-        tag, *values = cbor2.loads(data)
-        cls = _BY_TAG[tag]
-        return cls(*values[: len(cls.FIELDS)])
+        return _build(cbor2.loads(data))
     except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError) as error:
         raise WireError(f"{len(data)} bytes are not a known message: {error}") from error
 
 
+def encode_batch(messages: list[Any]) -> bytes:
+    """Return one frame that holds several messages."""
+    rows = [[each.TAG, *[getattr(each, name) for name in each.FIELDS]] for each in messages]
+    return cbor2.dumps(rows)
+
+
+def decode_batch(data: bytes) -> list[Any]:
+    """Return the messages of a frame made by `encode_batch`; raise `WireError` if it is none."""
+    try:
+        return [_build(row) for row in cbor2.loads(data)]
+    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError) as error:
+        raise WireError(f"{len(data)} bytes are not a batch of messages: {error}") from error
+
+
+def _build(row: list) -> Any:
+    tag, *values = row
+    cls = _BY_TAG[tag]
+    return cls(*values[: len(cls.FIELDS)])
+
+
 def prove(key: str, nonce: bytes) -> bytes:
     """Return the proof of the shared key for a challenge."""
     return hmac.digest(key.encode(), nonce, hashlib.sha256)
--- /dev/null
+++ b/src/daisyfall/platform/_callers.py
@@ -0,0 +1,128 @@
+"""HTTP interface of callers, as the platform's clients speak it."""
+
+import asyncio
+import math
+
+import loguru
+from aiohttp import web
+
+from daisyfall import _clock
+from daisyfall.platform import _documents
+from daisyfall.process import _pool_entry
+from daisyfall.request import _pool_jobs
+
+DEADLINE_HEADER = "X-Deadline-Remaining-Ms"
+BODY_LIMIT_S = 3.0
+# A caller that names no deadline waits this long.
+DEFAULT_WAIT_S = 10.0
+LARGEST_BODY_BYTES = 8 * 1024 * 1024
+RETRY_AT_START_S = 1.0
+
+_STATE_BY_OUTCOME = {
+    _pool_jobs.Outcome.COMPLETED: "completed",
+    _pool_jobs.Outcome.FAILED: "failed",
+}
+IMPOSSIBLE = "impossible"
+DEADLINE_REASONS = frozenset({"deadline", "overdue"})
+
+
+class Callers:
+    """Handlers of the caller interface and of the readiness probe."""
+
+    def __init__(self, entry: _pool_entry.PoolEntry):
+        self._entry = entry
+
+    def build(self) -> web.Application:
+        """Return the application for callers."""
+        application = web.Application(client_max_size=LARGEST_BODY_BYTES)
+        application.router.add_route("*", "/{path:.*}", self._handle)
+        return application
+
+    def build_readiness(self) -> web.Application:
+        """Return the application for the platform's readiness probe."""
+        application = web.Application()
+        application.router.add_get("/readiness", self._answer_readiness)
+        return application
+
+    async def _answer_readiness(self, _request: web.Request) -> web.Response:
+        return web.Response(status=200 if self._entry.is_ready else 503)
+
+    async def _handle(self, request: web.Request) -> web.Response:
+        response = await self._route(request)
+        if self._entry.is_draining:
+            response.force_close()
+        return response
+
+    async def _route(self, request: web.Request) -> web.Response:
+        arrived = _clock.monotonic()
+        reason = self._entry.refusal()
+        if reason:
+            return _refuse(503, reason, RETRY_AT_START_S)
+        host = request.host.partition(":")[0]
+        route = self._entry.configuration.find(host, request.path)
+        if route is None:
+            return _refuse(404, "no such queue")
+        job_id = request.path[len(route.prefix) :]
+        match request.method:
+            case "POST":
+                return await self._submit(request, route, job_id, arrived)
+            case "GET" if not job_id:
+                return web.json_response({"Waiting": self._entry.waiting_jobs(route.name)})
+            case "GET":
+                if self._entry.has_job(job_id):
+                    return web.json_response({"State": "running"})
+                return _refuse(410, "no such job")
+            case "DELETE":
+                is_here = self._entry.cancel(job_id)
+                return web.json_response({"State": "cancelled"} if is_here else {}, status=200)
+        return _refuse(405, "unknown method")
+
+    async def _submit(self, request: web.Request, route, job_id: str, arrived: float):
+        try:
+            async with asyncio.timeout(BODY_LIMIT_S):
+                document = await request.read()
+        except TimeoutError:
+            return _refuse(408, "the body was sent too slowly")
+        if len(document) > self._entry.configuration.body_limit_bytes:
+            return _refuse(413, "the body is too large")
+        wait_s = _wait_s(request, route) - (_clock.monotonic() - arrived)
+        try:
+            submission = _documents.decode_submission(document, job_id, route, wait_s)
+        except _documents.DocumentError as error:
+            loguru.logger.bind(job=job_id[:40], reason=str(error)).warning("job is malformed")
+            return _refuse(400, str(error))
+        except _documents.UnsupportedError as error:
+            loguru.logger.bind(job=job_id, kind=str(error)).warning("kind of job is not supported")
+            return _refuse(503, f"not supported: {error}")
+        return _encode(await self._entry.submit(submission))
+
+
+def _wait_s(request: web.Request, route) -> float:
+    text = request.headers.get(DEADLINE_HEADER, "")
+    try:
+        wait_ms = float(text)
+    except ValueError:
+        wait_ms = 0.0
+    if 0 < wait_ms < float("inf"):
+        return wait_ms / 1000
+    return max(DEFAULT_WAIT_S, route.timeout_ms / 1000)
+
+
+def _encode(answer: _pool_jobs.Answer) -> web.Response:
+    match answer.outcome:
+        case _pool_jobs.Outcome.COMPLETED | _pool_jobs.Outcome.FAILED:
+            return web.json_response({"State": _STATE_BY_OUTCOME[answer.outcome]})
+        case _pool_jobs.Outcome.CANCELLED:
+            return _refuse(410, "cancelled")
+        case _pool_jobs.Outcome.REFUSED if answer.reason == IMPOSSIBLE:
+            return _refuse(422, "no runner can ever hold a task of the job")
+        case _pool_jobs.Outcome.REFUSED:
+            return _refuse(503, answer.reason, answer.retry_after_s)
+        case _pool_jobs.Outcome.GIVEN_UP:
+            return _refuse(504 if answer.reason in DEADLINE_REASONS else 502, answer.reason)
+    raise AssertionError(f"unknown outcome {answer.outcome}")
+
+
+def _refuse(status: int, reason: str, retry_after_s: float = 0.0) -> web.Response:
+    headers = {"Retry-After": str(math.ceil(retry_after_s))} if retry_after_s else None
+    return web.json_response({"Error": reason}, status=status, headers=headers)
--- /dev/null
+++ b/src/daisyfall/platform/_store.py
@@ -0,0 +1,165 @@
+"""Client of the platform's metadata store: rows, and a feed of their changes."""
+
+import asyncio
+import base64
+import binascii
+import random
+from collections.abc import Callable
+
+import aiohttp
+import attrs
+import loguru
+
+from daisyfall.platform import _http
+
+CALL_LIMIT_S = 1.0
+# Over the wait time of a feed call, for the way there and back.
+FEED_MARGIN_S = 1.0
+RETRY_S = (0.15, 1.5)
+PAGE_ROWS = 500
+
+GONE = 410
+
+
+class StoreError(Exception):
+    """A call without a usable answer; `reason` is a bounded word for counters."""
+
+    def __init__(self, reason: str):
+        super().__init__(reason)
+        self.reason = reason
+
+
+@attrs.frozen
+class Row:
+    """One row; `value` is None for a row that was dropped."""
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+class Store:
+    """Calls to the store; `count_error` gets the reason of each failed one."""
+
+    def __init__(
+        self,
+        address: str,
+        session: aiohttp.ClientSession,
+        source: random.Random,
+        count_error: Callable[[str], None],
+    ):
+        self._url = f"http://{address}"
+        self._session = session
+        self._source = source
+        self._count_error = count_error
+
+    async def put(self, table: str, key: str, value: bytes) -> None:
+        """Write one row, again and again until the store confirms it."""
+        row = {"Table": table, "part": "", "Key": key, "Value": base64.b64encode(value).decode()}
+        await self._change({"Precondition": [], "Upserts": [row], "Remove": []})
+        loguru.logger.bind(table=table, key=key).info("row written")
+
+    async def follow(
+        self, table: str, wait_s: float, pause_s: float, take: Callable[[list[Row], bool], None]
+    ) -> None:
+        """Pass the rows of a table to `take`, all of them first (True), then each change.
+
+        `wait_s` is how long a feed call may wait for a change. The pause gathers changes that
+        come together.
+        """
+        version = None
+        attempt = 0
+        while True:
+            try:
+                if version is None:
+                    rows, version = await self._read_all(table)
+                    take(rows, True)
+                else:
+                    rows, version = await self._read_changes(table, version, wait_s)
+                    if rows:
+                        take(rows, False)
+                if attempt:
+                    loguru.logger.bind(table=table, attempts=attempt).info("store answers again")
+                attempt = 0
+                await asyncio.sleep(pause_s)
+            except StoreError as error:
+                attempt += 1
+                await self._back_off(f"follow {table}", error, attempt)
+                if error.reason == str(GONE):
+                    version = None
+
+    async def _change(self, change: dict) -> None:
+        attempt = 0
+        while True:
+            try:
+                await self._call("POST", "/rows-tx", CALL_LIMIT_S, json=change)
+                return
+            except StoreError as error:
+                attempt += 1
+                await self._back_off("write", error, attempt)
+
+    async def _back_off(self, what: str, error: StoreError, attempt: int) -> None:
+        self._count_error(error.reason)
+        if attempt == 1:
+            loguru.logger.bind(call=what, reason=error.reason).warning("store call failed")
+        shortest, longest = RETRY_S
+        pause_s = min(shortest * 2 ** min(attempt - 1, 8), longest)
+        await asyncio.sleep(pause_s * (0.5 + self._source.random()))
+
+    async def _read_all(self, table: str) -> tuple[list[Row], int]:
+        rows: list[Row] = []
+        start = ""
+        while True:
+            query = {"Table": table, "part": "", "Limit": str(PAGE_ROWS)}
+            if start:
+                query["From"] = start
+            body = await self._call("GET", "/rows-get", CALL_LIMIT_S, params=query)
+            rows += _decode_rows(body)
+            if not body.get("HasMore") or not rows:
+                return rows, _decode_version(body)
+            start = f"{rows[-1].key}\0"
+
+    async def _read_changes(self, table: str, version: int, wait_s: float) -> tuple[list[Row], int]:
+        query = {"Table": table, "After": str(version), "WaitMs": str(round(wait_s * 1000))}
+        body = await self._call("GET", "/rows-feed", wait_s + FEED_MARGIN_S, params=query)
+        return _decode_rows(body), _decode_version(body)
+
+    async def _call(self, method: str, path: str, limit_s: float, **arguments) -> dict:
+        url = f"{self._url}{path}"
+        timeout = _http.limit(limit_s)
+        try:
+            async with self._session.request(method, url, timeout=timeout, **arguments) as reply:
+                if reply.status != 200:
+                    raise StoreError(str(reply.status))
+                body = await reply.json(content_type=None)
+        except TimeoutError as error:
+            raise StoreError("timeout") from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise StoreError("connection") from error
+        except ValueError as error:
+            raise StoreError("unreadable") from error
+        if not isinstance(body, dict):
+            raise StoreError("unreadable")
+        return body
+
+
+def _decode_version(body: dict) -> int:
+    version = body.get("VersionNumber")
+    if not isinstance(version, int):
+        raise StoreError("unreadable")
+    return version
+
+
+def _decode_rows(body: dict) -> list[Row]:
+    rows = body.get("rows")
+    if not isinstance(rows, list):
+        raise StoreError("unreadable")
+    try:
+        return [_decode_row(each) for each in rows]
+    except (KeyError, TypeError, binascii.Error) as error:
+        raise StoreError("unreadable") from error
+
+
+def _decode_row(row: dict) -> Row:
+    value = None if row.get("Deleted") else base64.b64decode(row["Value"])
+    return Row(row["Key"], value, row["VersionNumber"])
--- /dev/null
+++ b/src/daisyfall/platform/node.py
@@ -0,0 +1,213 @@
+"""Composition root of the processes on the users' platform: entry and agent."""
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import sys
+
+import loguru
+from aiohttp import web
+
+from daisyfall import _clock, _ids
+from daisyfall.platform import (
+    _callers,
+    _documents,
+    _http,
+    _node_settings,
+    _registry,
+    _runner,
+    _store,
+)
+from daisyfall.policy import _bounds
+from daisyfall.process import (
+    _decision_log,
+    _pool_agent,
+    _pool_entry,
+    _pool_metrics,
+    _pool_peers,
+)
+
+SETTINGS_VARIABLE = "DAISYFALL_NODE_FILE"
+DEFAULT_SETTINGS_FILE = "/etc/daisyfall/node.conf"
+ROLES = ("entry", "agent")
+USAGE_ERROR = 2
+METRICS_PORT = 9464
+NODES_TABLE = "daisyfall-nodes"
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+# Other entries tell of a new configuration as well, so a single feed call may wait long.
+CONFIGURATION_WAIT_S = 4.0
+NODES_WAIT_S = 10.0
+NODES_PAUSE_S = 0.2
+# The platform's balancer stops sending new connections after two failed probes, 1 s apart.
+BALANCER_SETTLE_S = 2.5
+
+
+def main() -> None:
+    """Run the role that the command line names and exit with its status."""
+    arguments = sys.argv[1:]
+    if len(arguments) != 1 or arguments[0] not in ROLES:
+        print(f"usage: node.py {'|'.join(ROLES)}, found {arguments}", file=sys.stderr)
+        sys.exit(USAGE_ERROR)
+    role = arguments[0]
+    path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_FILE)
+    try:
+        settings = _node_settings.load(path, ROLES.index(role))
+        bounds = _bounds.derive(settings.longest_lease_s, settings.stop_task_s, settings.resend_s)
+    except (_node_settings.NodeSettingsError, ValueError) as error:
+        print(f"{path}: {error}", file=sys.stderr)
+        sys.exit(USAGE_ERROR)
+    metrics = _pool_metrics.PoolMetrics()
+    _decision_log.configure(settings.node_id, role, metrics.dropped_lines)
+    run = _run_entry if role == "entry" else _run_agent
+    asyncio.run(run(settings, bounds, metrics, path))
+
+
+async def _run_entry(settings, bounds, metrics, path: str) -> None:
+    source = random.Random()
+    entry = _pool_entry.PoolEntry(
+        _pool_entry.EntrySettings(
+            id=settings.node_id,
+            incarnation=_ids.new_incarnation(),
+            data_centre=settings.data_centre,
+            address=settings.host_address,
+            port=settings.internal_port,
+            cores=settings.cores,
+            started_ms=_clock.wall_ms(),
+            bounds=bounds,
+            stop_limit_s=settings.grace_s - _node_settings.STOP_MARGIN_S,
+            settle_s=min(BALANCER_SETTLE_S, settings.grace_s / 2),
+        ),
+        _documents.decode_configuration,
+        metrics,
+        source,
+    )
+    callers = _callers.Callers(entry)
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(_http.open_session())
+        store = _store.Store(settings.store_address, session, source, metrics.store_failed)
+        await _serve(stack, callers.build(), settings.caller_address)
+        await _serve(stack, callers.build_readiness(), settings.readiness_address)
+        await _serve_metrics(stack, metrics, settings.host_address)
+        row = _documents.NodeRow("entry", f"{settings.host_address}:{settings.internal_port}")
+        nodes = _Nodes(entry)
+        _spawn(stack, store.put(NODES_TABLE, settings.node_id, row.encode()))
+        _spawn(stack, store.follow(NODES_TABLE, NODES_WAIT_S, NODES_PAUSE_S, nodes.take))
+        _spawn(
+            stack,
+            store.follow(
+                OPERATOR_TABLE,
+                CONFIGURATION_WAIT_S,
+                0.0,
+                lambda rows, _is_all: _take_configuration(entry, rows),
+            ),
+        )
+        await entry.run(_watch_signals(path, settings))
+
+
+async def _run_agent(settings, bounds, metrics, path: str) -> None:
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(_http.open_session())
+        agent = _pool_agent.PoolAgent(
+            _pool_agent.AgentSettings(
+                id=settings.node_id,
+                incarnation=_ids.new_incarnation(),
+                data_centre=settings.data_centre,
+                address=settings.host_address,
+                port=settings.internal_port,
+                cores=settings.cores,
+                started_ms=_clock.wall_ms(),
+                bounds=bounds,
+                heartbeat_s=settings.heartbeat_s,
+                stop_limit_s=settings.grace_s - 2 * _node_settings.STOP_MARGIN_S,
+            ),
+            lambda report: _runner.HttpRunner(session, report),
+            metrics,
+        )
+        store = _store.Store(settings.store_address, session, random.Random(), metrics.store_failed)
+        await _serve(stack, _registry.build(agent), settings.runner_address)
+        await _serve_metrics(stack, metrics, settings.host_address)
+        row = _documents.NodeRow("agent", f"{settings.host_address}:{settings.internal_port}")
+        _spawn(stack, store.put(NODES_TABLE, settings.node_id, row.encode()))
+        await agent.run(_watch_signals(path, settings))
+
+
+class _Nodes:
+    """The table of nodes, passed on as a whole after each change."""
+
+    def __init__(self, entry: _pool_entry.PoolEntry):
+        self._entry = entry
+        self._node_by_id: dict[str, _pool_peers.Node] = {}
+
+    def take(self, rows: list[_store.Row], is_all: bool) -> None:
+        """Take rows of the table."""
+        if is_all:
+            self._node_by_id.clear()
+        for row in rows:
+            self._node_by_id.pop(row.key, None)
+            found = _documents.NodeRow.decode(row.value) if row.value is not None else None
+            if found is not None and found.role in ROLES:
+                self._node_by_id[row.key] = _pool_peers.Node(row.key, found.role, found.address)
+        loguru.logger.bind(nodes=len(self._node_by_id)).info("nodes known")
+        self._entry.peers.set_nodes(list(self._node_by_id.values()))
+
+
+def _take_configuration(entry: _pool_entry.PoolEntry, rows: list[_store.Row]) -> None:
+    for row in rows:
+        if row.key == CONFIGURATION_KEY and row.value is not None:
+            try:
+                entry.take_configuration(row.value)
+            except _documents.DocumentError as error:
+                loguru.logger.bind(reason=str(error)).error("configuration can't be read")
+
+
+def _watch_signals(path: str, settings: _node_settings.NodeSettings) -> asyncio.Event:
+    """Return an event that SIGTERM sets; SIGHUP reads the settings file again."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path, settings)
+    return stop
+
+
+def _reload(path: str, settings: _node_settings.NodeSettings) -> None:
+    try:
+        found = _node_settings.load(path, 0)
+    except _node_settings.NodeSettingsError as error:
+        loguru.logger.bind(reason=str(error)).error("settings can't be read, keeping the old ones")
+        return
+    changed = found.grace_s != settings.grace_s or found.store_address != settings.store_address
+    loguru.logger.bind(changed=changed).info("settings read again")
+
+
+async def _serve(stack, application: web.Application, address: str) -> None:
+    host, _, port = address.partition(":")
+    # A caller that leaves cancels the handler, and with it the job.
+    runner = web.AppRunner(application, handler_cancellation=True, access_log=None)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    site = web.TCPSite(runner, host, int(port), backlog=512, shutdown_timeout=0.5)
+    await site.start()
+
+
+async def _serve_metrics(stack, metrics: _pool_metrics.PoolMetrics, host: str) -> None:
+    async def answer(_request: web.Request) -> web.Response:
+        return web.Response(body=metrics.render(), content_type="text/plain")
+
+    application = web.Application()
+    application.router.add_get("/metrics", answer)
+    await _serve(stack, application, f"{host}:{METRICS_PORT}")
+
+
+def _spawn(stack: contextlib.AsyncExitStack, coroutine) -> None:
+    task = asyncio.create_task(coroutine)
+    stack.callback(task.cancel)
+    task.add_done_callback(_log_failure)
+
+
+def _log_failure(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        loguru.logger.opt(exception=task.exception()).error("a task of the process failed")
--- /dev/null
+++ b/src/daisyfall/policy/_room.py
@@ -0,0 +1,148 @@
+"""Room on the runners of a pool, as the scheduling entry knows it, and the choice of a runner.
+
+Answers load that is uneven over the runners: each task goes to the runner with the most room
+left among those that are not slow, so that no runner queues while another one idles.
+"""
+
+import attrs
+
+from daisyfall.policy import _evidence
+
+# A placement that its runner's agent has not confirmed by then is taken back.
+UNCONFIRMED_S = 0.4
+# Slowness is compared in steps of this size, so that noise doesn't outweigh room.
+SLOWNESS_STEP = 0.5
+
+
+@attrs.frozen
+class Demand:
+    """What one task needs: thousandths of a core, MB, and where it may or should run."""
+
+    task: str
+    job_id: str
+    cpu: int
+    memory_mb: int
+    accelerators: int = 0
+    expected_ms: float = 0.0
+    label: str = ""
+    near_rack: str = ""
+    most_per_runner: int = 0
+    avoid: tuple[str, ...] = ()
+
+
+@attrs.define(slots=True, eq=False)
+class Held:
+    """Room that one task holds on a runner."""
+
+    cpu: int
+    memory_mb: int
+    accelerators: int
+    since: float
+    job_id: str
+
+
+@attrs.define(slots=True, eq=False)
+class RunnerRoom:
+    """One runner: its capacity, what is held there, and the evidence on it."""
+
+    id: str
+    pool: str
+    cpu: int
+    memory_mb: int
+    accelerators: int
+    labels: tuple[str, ...]
+    is_open: bool
+    incarnation: str = ""
+    is_known: bool = False
+    held_by_task: dict[str, Held] = attrs.Factory(dict)
+    evidence: _evidence.Evidence = attrs.Factory(_evidence.Evidence)
+    free_cpu: int = 0
+    free_memory_mb: int = 0
+    free_accelerators: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Start with everything free."""
+        self.recount()
+
+    def recount(self) -> None:
+        """Recompute what is free from what is held."""
+        held = self.held_by_task.values()
+        self.free_cpu = self.cpu - sum(each.cpu for each in held)
+        self.free_memory_mb = self.memory_mb - sum(each.memory_mb for each in held)
+        self.free_accelerators = self.accelerators - sum(each.accelerators for each in held)
+
+    def hold(self, demand: Demand, now: float) -> None:
+        """Take room for a task."""
+        self.held_by_task[demand.task] = Held(
+            demand.cpu, demand.memory_mb, demand.accelerators, now, demand.job_id
+        )
+        self.free_cpu -= demand.cpu
+        self.free_memory_mb -= demand.memory_mb
+        self.free_accelerators -= demand.accelerators
+        self.evidence.placed(now)
+
+    def release(self, task: str) -> bool:
+        """Give back the room of a task; tell whether it held any."""
+        held = self.held_by_task.pop(task, None)
+        if held is None:
+            return False
+        self.free_cpu += held.cpu
+        self.free_memory_mb += held.memory_mb
+        self.free_accelerators += held.accelerators
+        return True
+
+    def replace(self, held_by_task: dict[str, Held], now: float) -> None:
+        """Take over what the agent reports; placements it can't know of yet are kept."""
+        for task, held in self.held_by_task.items():
+            if task not in held_by_task and now - held.since < UNCONFIRMED_S:
+                held_by_task[task] = held
+        self.held_by_task = held_by_task
+        self.is_known = True
+        self.recount()
+
+    def fits(self, demand: Demand) -> bool:
+        """Tell whether the task fits into what is free."""
+        return (
+            self.free_cpu >= demand.cpu
+            and self.free_memory_mb >= demand.memory_mb
+            and self.free_accelerators >= demand.accelerators
+        )
+
+    def could_hold(self, demand: Demand) -> bool:
+        """Tell whether the task would fit if the runner were empty."""
+        return (
+            self.cpu >= demand.cpu
+            and self.memory_mb >= demand.memory_mb
+            and self.accelerators >= demand.accelerators
+            and (not demand.label or demand.label in self.labels)
+        )
+
+
+def choose(runners: list[RunnerRoom], demand: Demand, now: float) -> RunnerRoom | None:
+    """Return the runner for a task, None if it has to wait."""
+    usable = [
+        each
+        for each in runners
+        if each.is_open
+        and each.is_known
+        and each.fits(demand)
+        and (not demand.label or demand.label in each.labels)
+        and each.evidence.may_take(now)
+        and not _is_crowded(each, demand)
+    ]
+    preferred = [each for each in usable if each.id not in demand.avoid]
+    return min(preferred or usable, key=lambda each: _cost(each, demand), default=None)
+
+
+def _is_crowded(runner: RunnerRoom, demand: Demand) -> bool:
+    if not demand.most_per_runner:
+        return False
+    step = demand.task.rpartition(".")[0]
+    siblings = sum(task.rpartition(".")[0] == step for task in runner.held_by_task)
+    return siblings >= demand.most_per_runner
+
+
+def _cost(runner: RunnerRoom, demand: Demand) -> tuple:
+    is_far = bool(demand.near_rack) and demand.near_rack not in runner.labels
+    slowness = max(1.0, runner.evidence.slowness)
+    return (is_far, int((slowness - 1.0) / SLOWNESS_STEP), -runner.free_cpu / max(runner.cpu, 1))
--- /dev/null
+++ b/src/daisyfall/policy/_scheduler.py
@@ -0,0 +1,222 @@
+"""Places the tasks of waiting jobs on the runners of the pools; pure, fed with events."""
+
+import random
+
+import attrs
+
+from daisyfall.policy import _evidence, _room, _waiting
+
+# Ends that are reported with a task's room.
+DONE = "done"
+FAILED = "failed"
+# The runner let the task down: it stood still, or an order on it was not answered.
+FAULTY_ENDS = frozenset({"stalled", "unanswered", "unhealthy", "lost"})
+
+
+@attrs.frozen
+class Placement:
+    """Tasks of one item that were given a runner: pairs of task and runner id."""
+
+    item: _waiting.Item
+    runner_by_task: dict[str, str]
+
+
+@attrs.frozen
+class Refusal:
+    """An item that is not placed; none of its tasks were placed under this item."""
+
+    item: _waiting.Item
+    reason: str
+    retry_after_s: float
+
+
+IN_VAIN = "in_vain"
+OVERDUE = "overdue"
+FULL = "full"
+IMPOSSIBLE = "impossible"
+NO_RUNNER = "no_runner"
+
+
+class Scheduler:
+    """Queues by pool and the room of all runners."""
+
+    def __init__(self, source: random.Random) -> None:
+        self._source = source
+        self.room_by_id: dict[str, _room.RunnerRoom] = {}
+        self._waiting_by_pool: dict[str, _waiting.Waiting] = {}
+        self._item_by_id: dict[str, _waiting.Item] = {}
+
+    @property
+    def queued(self) -> int:
+        """Return the number of items that wait."""
+        return len(self._item_by_id)
+
+    def set_runner(self, room: _room.RunnerRoom) -> None:
+        """Add a runner, or take over its new capacity, labels and openness."""
+        known = self.room_by_id.get(room.id)
+        if known is None or known.pool != room.pool:
+            self.room_by_id[room.id] = room
+            return
+        known.cpu, known.memory_mb, known.accelerators = (
+            room.cpu,
+            room.memory_mb,
+            room.accelerators,
+        )
+        known.labels, known.is_open = room.labels, room.is_open
+        if known.incarnation != room.incarnation:
+            known.incarnation = room.incarnation
+            known.evidence = _evidence.Evidence()
+        known.recount()
+
+    def remove_runner(self, runner_id: str) -> None:
+        """Forget what is held at a runner that can't be reached; keep the evidence on it."""
+        room = self.room_by_id.get(runner_id)
+        if room is not None:
+            room.is_open = False
+            room.is_known = False
+
+    def report(self, runner_id: str, held_by_task: dict[str, _room.Held], now: float) -> None:
+        """Take over the whole list of tasks that a runner's agent holds."""
+        room = self.room_by_id.get(runner_id)
+        if room is not None:
+            room.replace(held_by_task, now)
+
+    def ended(self, runner_id: str, task: str, job_id: str, how: str, now: float) -> None:
+        """Give back the room of a task that ended and note what its end says of the runner."""
+        room = self.room_by_id.get(runner_id)
+        if room is None:
+            return
+        room.release(task)
+        if how == DONE:
+            room.evidence.succeeded()
+        elif how == FAILED:
+            room.evidence.failed(job_id, now)
+        elif how in FAULTY_ENDS:
+            room.evidence.faulted(now)
+
+    def slowed(self, runner_id: str, ratio: float) -> None:
+        """Note how slow a runner is compared with the expected run times."""
+        room = self.room_by_id.get(runner_id)
+        if room is not None:
+            room.evidence.slowed(ratio)
+
+    def submit(self, item: _waiting.Item, now: float) -> list[Placement | Refusal]:
+        """Queue the tasks of a job; return what is decided at once."""
+        if item.id in self._item_by_id:
+            return []
+        refusal = self._refuse_at_arrival(item, now)
+        if refusal is not None:
+            return [refusal]
+        self._queue(item.pool).add(item)
+        self._item_by_id[item.id] = item
+        return self._place(item.pool, now)
+
+    def withdraw(self, entry_id: str, job_id: str) -> None:
+        """Drop what waits of a job."""
+        for item in list(self._item_by_id.values()):
+            if item.entry_id == entry_id and item.job_id == job_id:
+                self._drop(item)
+
+    def withdraw_entry(self, entry_id: str) -> None:
+        """Drop what waits of an entry that can't be reached."""
+        for item in list(self._item_by_id.values()):
+            if item.entry_id == entry_id:
+                self._drop(item)
+
+    def advance(self, now: float) -> list[Placement | Refusal]:
+        """Place what fits now in all pools, and refuse what is overdue."""
+        decisions: list[Placement | Refusal] = []
+        for pool, waiting in self._waiting_by_pool.items():
+            if len(waiting):
+                decisions += self._place(pool, now)
+                decisions += self._refuse_overdue(waiting, now)
+        return decisions
+
+    def cores(self, pool: str) -> float:
+        """Return the cores of the runners that take work."""
+        return sum(each.cpu for each in self._usable(pool)) / 1000
+
+    def _queue(self, pool: str) -> _waiting.Waiting:
+        return self._waiting_by_pool.setdefault(pool, _waiting.Waiting())
+
+    def _runners(self, pool: str) -> list[_room.RunnerRoom]:
+        return [each for each in self.room_by_id.values() if each.pool == pool]
+
+    def _usable(self, pool: str) -> list[_room.RunnerRoom]:
+        return [
+            each
+            for each in self._runners(pool)
+            if each.is_open and each.is_known and each.evidence.state is _evidence.State.IN
+        ]
+
+    def _refuse_at_arrival(self, item: _waiting.Item, now: float) -> Refusal | None:
+        runners = self._runners(item.pool)
+        if runners and not all(
+            any(room.could_hold(demand) for room in runners) for demand in item.demands
+        ):
+            return Refusal(item, IMPOSSIBLE, 0.0)
+        if self.queued >= _waiting.LONGEST_QUEUE:
+            return self._refusal(item, FULL)
+        if self._fits_now(item, runners, now):
+            return None
+        work_before = self._queue(item.pool).work_before(item)
+        if _waiting.is_in_vain(item, work_before, self.cores(item.pool), now):
+            return self._refusal(item, IN_VAIN)
+        return None
+
+    def _fits_now(self, item: _waiting.Item, runners: list[_room.RunnerRoom], now: float) -> bool:
+        return not len(self._queue(item.pool)) and all(
+            _room.choose(runners, demand, now) for demand in item.demands[:1]
+        )
+
+    def _refusal(self, item: _waiting.Item, reason: str) -> Refusal:
+        work = self._queue(item.pool).work()
+        jitter = self._source.random()
+        after_s = _waiting.retry_after_s(work, self.cores(item.pool), jitter)
+        return Refusal(item, reason, after_s)
+
+    def _place(self, pool: str, now: float) -> list[Placement | Refusal]:
+        runners = self._runners(pool)
+        waiting = self._queue(pool)
+        decisions = []
+        for item in waiting.ordered():
+            runner_by_task = _place_tasks(item, runners, now)
+            if runner_by_task:
+                decisions.append(Placement(item, runner_by_task))
+                self._move_to_started(item, waiting)
+            if not item.demands:
+                self._drop(item)
+        return decisions
+
+    def _move_to_started(self, item: _waiting.Item, waiting: _waiting.Waiting) -> None:
+        if not item.has_started:
+            waiting.remove(item)
+            item.has_started = True
+            waiting.add(item)
+
+    def _refuse_overdue(self, waiting: _waiting.Waiting, now: float) -> list[Refusal]:
+        overdue = [each for each in waiting.ordered() if _waiting.is_overdue(each, now)]
+        for item in overdue:
+            self._drop(item)
+        return [self._refusal(item, OVERDUE) for item in overdue]
+
+    def _drop(self, item: _waiting.Item) -> None:
+        self._item_by_id.pop(item.id, None)
+        self._queue(item.pool).remove(item)
+
+
+def _place_tasks(
+    item: _waiting.Item, runners: list[_room.RunnerRoom], now: float
+) -> dict[str, str]:
+    """Place as many tasks of an item as fit, the longest first; return runner ids by task."""
+    runner_by_task: dict[str, str] = {}
+    left = []
+    for demand in item.demands:
+        room = _room.choose(runners, demand, now)
+        if room is None:
+            left.append(demand)
+            continue
+        room.hold(demand, now)
+        runner_by_task[demand.task] = room.id
+    item.demands = left
+    return runner_by_task
--- /dev/null
+++ b/src/daisyfall/process/_leadership.py
@@ -0,0 +1,69 @@
+"""Which entry schedules the pools, as this entry sees it."""
+
+import attrs
+
+from daisyfall import _pool_wire
+from daisyfall.connection import _link
+from daisyfall.policy import _election
+
+# An entry that was asked to place tasks keeps its view of the runners up to date this long.
+SERVES_AFTER_S = 2.0
+
+
+@attrs.define(eq=False)
+class _Peer:
+    link: _link.Link
+    is_available: bool
+    waiting_by_route: dict[str, int]
+
+
+class Leadership:
+    """The heartbeats of the other entries and the choice made from them."""
+
+    def __init__(self, own_id: str, cores: float, started_ms: int):
+        self.leader_id = own_id
+        self._own_id = own_id
+        self._cores = cores
+        self._started_ms = started_ms
+        self._peer_by_id: dict[str, _Peer] = {}
+        self._asked_at = float("-inf")
+
+    def heard(self, peer_id: str, link: _link.Link, beat: _pool_wire.PeerBeat) -> None:
+        """Take a heartbeat."""
+        self._peer_by_id[peer_id] = _Peer(link, beat.is_available, beat.waiting_by_route)
+
+    def lost(self, peer_id: str) -> None:
+        """Forget an entry whose link has ended."""
+        self._peer_by_id.pop(peer_id, None)
+
+    def asked(self, now: float) -> None:
+        """Note that another entry takes this one for the scheduling one."""
+        self._asked_at = now
+
+    def schedules(self, now: float) -> bool:
+        """Tell whether this entry needs to know the room of the runners."""
+        return self.leader_id == self._own_id or now - self._asked_at < SERVES_AFTER_S
+
+    def waiting_elsewhere(self, route: str) -> int:
+        """Return the waiting jobs of a route at the other entries."""
+        return sum(each.waiting_by_route.get(route, 0) for each in self._peer_by_id.values())
+
+    def choose(self, now: float, links: dict[str, _link.Link], *, is_available: bool) -> bool:
+        """Choose the scheduling entry; tell whether it is another one than before."""
+        candidates = [
+            _election.Candidate(
+                self._own_id, self._cores, self._started_ms, float("inf"), is_available
+            )
+        ]
+        for peer_id, peer in self._peer_by_id.items():
+            if peer_id in links:
+                opened = peer.link.peer
+                heard_for_s = now - peer.link.opened_at
+                candidates.append(
+                    _election.Candidate(
+                        peer_id, opened.cores, opened.started_ms, heard_for_s, peer.is_available
+                    )
+                )
+        before = self.leader_id
+        self.leader_id = _election.choose(candidates, before) or self._own_id
+        return self.leader_id != before
--- /dev/null
+++ b/src/daisyfall/process/_leased_runner.py
@@ -0,0 +1,105 @@
+"""What the pool agent asks of the runner beside it, without the names on the wire.
+
+A leased runner ends whatever holds no lease. Its clock is its own; all its times are in
+milliseconds of that clock.
+"""
+
+import enum
+from typing import Protocol
+
+import attrs
+
+
+class Start(enum.Enum):
+    """Answer of the runner to a start order."""
+
+    STARTED = "started"
+    NO_ROOM = "no_room"
+    LATE = "late"  # the lease in the order had passed
+    FENCED = "fenced"  # another agent with a higher token gives the orders
+    OLD_RUN = "old_run"  # a run with this number or a higher one was there
+    UNHEALTHY = "unhealthy"  # nothing was done
+    REJECTED = "rejected"  # the order is malformed
+    REPLACED = "replaced"  # another incarnation answers at the address
+    UNREACHABLE = "unreachable"  # no connection, so nothing was done
+    UNANSWERED = "unanswered"  # it may have been done, or be done later
+
+
+class End(enum.Enum):
+    """How a run ended, as the runner lists it."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+
+
+@attrs.frozen
+class RunnerReport:
+    """One heartbeat of a runner; `born_ms` and `id` name its incarnation."""
+
+    id: str
+    born_ms: int
+    pool: str
+    address: str
+    cpu: int
+    memory_mb: int
+    accelerators: int
+    labels: tuple[str, ...]
+    is_draining: bool
+    remaining_ms: int
+    sequence: int
+
+
+@attrs.frozen
+class Running:
+    """One run on the runner; `percent` is its progress."""
+
+    task: str
+    run: int
+    percent: float
+
+
+@attrs.frozen
+class Ended:
+    """One ended run; `number` counts the ends of an incarnation from 1."""
+
+    number: int
+    task: str
+    run: int
+    end: End
+
+
+@attrs.frozen
+class Reading:
+    """Lists of runs at one moment of the runner's clock."""
+
+    clock_ms: float
+    born_ms: int
+    running: tuple[Running, ...]
+    ended: tuple[Ended, ...]
+
+
+@attrs.frozen
+class HoldFailed:
+    """A renewal without lists; `reason` is a `Start` value that says why."""
+
+    reason: Start
+
+
+class LeasedRunner(Protocol):
+    """Calls to one incarnation of a runner."""
+
+    async def start(
+        self, task: str, run: int, payload: str, lease_until_ms: int, token: int
+    ) -> tuple[Start, float]:
+        """Order a run; return the answer and the runner's clock (0 without one)."""
+
+    async def stop(self, task: str, run: int, token: int) -> bool:
+        """Order an end; tell whether the runner confirmed it."""
+
+    async def hold(
+        self, lease_until_ms: int | None, token: int, acknowledged: int, wait_ms: int
+    ) -> Reading | HoldFailed:
+        """Renew the lease of all runs, acknowledge ends, and read both lists."""
--- /dev/null
+++ b/src/daisyfall/process/_suspension.py
@@ -0,0 +1,37 @@
+"""Detects that the process stood still, so that nothing from before is acted on.
+
+After a pause the buffers of the sockets hold orders and requests that their senders have
+given up. `check` is called by a timer and at each message, whichever runs first.
+"""
+
+from collections.abc import Callable
+
+import loguru
+
+from daisyfall import _clock
+
+# Shorter than the silence limit of the links, and longer than any usual delay of the loop.
+PAUSE_LIMIT_S = 0.3
+
+
+class Guard:
+    """Calls `on_pause` with the length of each pause in seconds."""
+
+    def __init__(self, on_pause: Callable[[float], None]):
+        self._on_pause = on_pause
+        self._seen_at = _clock.monotonic()
+        self._resumed_at = 0.0
+
+    def check(self) -> None:
+        """Look at the clock; report a pause before anything else happens."""
+        now = _clock.monotonic()
+        gap_s = now - self._seen_at
+        self._seen_at = now
+        if gap_s > PAUSE_LIMIT_S:
+            self._resumed_at = now
+            loguru.logger.bind(pause_s=round(gap_s, 3)).warning("process was paused")
+            self._on_pause(gap_s)
+
+    def resumed_within(self, seconds: float) -> bool:
+        """Tell whether a pause ended less than `seconds` ago."""
+        return _clock.monotonic() - self._resumed_at < seconds
