Serve requests on open connections until a stopping entry has closed them

Change: the entry closes the callers' side first, goes on serving what arrives there, and gives up what is left only at the end of its grace time.

--- a/src/daisyfall/platform/node.py
+++ b/src/daisyfall/platform/node.py
@@ -43,6 +43,9 @@
 NODES_PAUSE_S = 0.2
 # The platform's balancer stops sending new connections after two failed probes, 1 s apart.
 BALANCER_SETTLE_S = 2.5
+# Longer than any time that a stopping process has, which ends its requests itself.
+CLOSE_LIMIT_S = 30.0
+LISTEN_BACKLOG = 512
 
 
 def main() -> None:
@@ -88,7 +91,7 @@
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(_http.open_session())
         store = _store.Store(settings.store_address, session, source, metrics.store_failed)
-        await _serve(stack, callers.build(), settings.caller_address)
+        close_callers = await _serve(stack, callers.build(), settings.caller_address)
         await _serve(stack, callers.build_readiness(), settings.readiness_address)
         await _serve_metrics(stack, metrics, settings.host_address)
         row = _documents.NodeRow("entry", f"{settings.host_address}:{settings.internal_port}")
@@ -104,7 +107,7 @@
                 lambda rows, _is_all: _take_configuration(entry, rows),
             ),
         )
-        await entry.run(_watch_signals(path, settings))
+        await entry.run(_watch_signals(path, settings), close_callers)
 
 
 async def _run_agent(settings, bounds, metrics, path: str) -> None:
@@ -183,14 +186,17 @@
     loguru.logger.bind(changed=changed).info("settings read again")
 
 
-async def _serve(stack, application: web.Application, address: str) -> None:
+async def _serve(stack, application: web.Application, address: str):
+    """Listen at `host:port`; return a function that ends it after the open requests."""
     host, _, port = address.partition(":")
     # A caller that leaves cancels the handler, and with it the job.
-    runner = web.AppRunner(application, handler_cancellation=True, access_log=None)
+    runner = web.AppRunner(
+        application, handler_cancellation=True, access_log=None, shutdown_timeout=CLOSE_LIMIT_S
+    )
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
-    site = web.TCPSite(runner, host, int(port), backlog=512, shutdown_timeout=0.5)
-    await site.start()
+    await web.TCPSite(runner, host, int(port), backlog=LISTEN_BACKLOG).start()
+    return runner.cleanup
 
 
 async def _serve_metrics(stack, metrics: _pool_metrics.PoolMetrics, host: str) -> None:
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 import loguru
@@ -87,31 +87,37 @@
 
     # Life of the process.
 
-    async def run(self, stop: asyncio.Event) -> None:
-        """Serve until `stop` is set, then finish the jobs that were taken."""
+    async def run(self, stop: asyncio.Event, close_callers: Callable[[], Awaitable]) -> None:
+        """Serve until `stop` is set, then finish the jobs that were taken.
+
+        `close_callers` stops listening, closes idle connections and returns when the others
+        have got their answers.
+        """
         server = _link.listen(self._serve_peer, self.settings.address, self.settings.port)
         async with server:
             ticker = asyncio.create_task(self._tick_forever())
             loguru.logger.bind(port=self.settings.port).info("entry started")
             await stop.wait()
-            await self._drain()
+            await self._drain(close_callers)
             ticker.cancel()
             await self.peers.close()
         loguru.logger.info("entry stopped")
 
-    async def _drain(self) -> None:
+    async def _drain(self, close_callers: Callable[[], Awaitable]) -> None:
         self._is_draining = True
         loguru.logger.bind(jobs=len(self._job_by_id)).info("entry is stopping")
         started = _clock.monotonic()
-        while True:
+        limit = started + self.settings.stop_limit_s
+        settled = started + self.settings.settle_s
+        while _clock.monotonic() < limit and (self._job_by_id or _clock.monotonic() < settled):
             await asyncio.sleep(STOP_POLL_S)
-            elapsed_s = _clock.monotonic() - started
-            is_idle = not self._job_by_id and elapsed_s > self.settings.settle_s
-            if is_idle or elapsed_s > self.settings.stop_limit_s:
-                break
+        # Requests that arrive on open connections meanwhile are still served.
+        closing = asyncio.ensure_future(close_callers())
+        left_s = max(limit - _clock.monotonic(), 0.0)
+        await asyncio.wait([closing], timeout=left_s)
         for job in list(self._job_by_id.values()):
             self._give_up(job, "stopping")
-        await asyncio.sleep(STOP_POLL_S)
+        await closing
 
     @property
     def is_ready(self) -> bool:
