--- /dev/null
+++ b/features/steps/pool_path_steps.py
@@ -0,0 +1,306 @@
+"""Steps on entries and agents as processes, against stand-ins of the platform."""
+
+import asyncio
+import json
+import time
+
+from behave import given, step, then, when
+
+from daisyfall_standins import platform_world, processes
+from features.steps import event_loop
+
+WAIT_S = 4.0
+SETTLED_S = 2.5
+
+
+@given("a platform world of {entries:d} entries and {agents:d} agents")
+def make_world(context, entries, agents):
+    fleet = processes.Fleet()
+    context.add_cleanup(fleet.end)
+    context.world = platform_world.World(fleet, entries, agents, seed=11)
+    event_loop.run(context, context.world.__aenter__())
+    event_loop.at_end(context, context.world.__aexit__)
+    event_loop.run(context, context.world.wait_ready())
+    event_loop.run(context, asyncio.sleep(SETTLED_S))
+
+
+async def load(world, count, shape, seconds, fault=None):
+    """Send jobs of `shape` (tasks, ms) evenly over `seconds`; return their outcomes."""
+    calls = []
+    disturbing = asyncio.create_task(fault) if fault else None
+    for _ in range(count):
+        job, body = world.new_job(*shape)
+        calls.append(asyncio.create_task(world.call(job, body, WAIT_S)))
+        await asyncio.sleep(seconds / count)
+    outcomes = await asyncio.gather(*calls)
+    if disturbing:
+        await disturbing
+    return outcomes
+
+
+@when("{count:d} jobs of {tasks:d} tasks of {ms:d} ms arrive within {seconds:g} s")
+def send_load(context, count, tasks, ms, seconds):
+    context.outcomes = event_loop.run(context, load(context.world, count, (tasks, ms), seconds))
+
+
+@then("all jobs are complete")
+def check_all(context):
+    assert set(context.outcomes) == {"completed"}, context.outcomes
+
+
+@then("at least {share:d}% of the jobs are complete")
+def check_share(context, share):
+    good = context.outcomes.count("completed")
+    assert good >= share / 100 * len(context.outcomes), (good, len(context.outcomes))
+
+
+@step("no promise is broken")
+def check_promises(context):
+    findings = context.world.findings()
+    assert not any(findings.values()), findings
+
+
+@when("{count:d} jobs of 3 tasks of 100 ms arrive within {seconds:g} s, and after 1 s {fault}")
+def send_disturbed_load(context, count, seconds, fault):
+    disturbance = disturb(context.world, fault, 1.0)
+    context.outcomes = event_loop.run(
+        context, load(context.world, count, (3, 100), seconds, disturbance)
+    )
+
+
+async def disturb(world, fault, after_s):
+    """Carry out a fault that is written as in the tables."""
+    await asyncio.sleep(after_s)
+    what, _, seconds = fault.partition(" for ")
+    pause_s = float(seconds.split()[0]) if seconds else 0.0
+    words = what.split()
+    if what.startswith("the store"):
+        world.store.fault = words[-1]
+        await asyncio.sleep(pause_s)
+        world.store.fault = ""
+    elif what.startswith("the runner of"):
+        runner = world.runner_by_agent[words[3]]
+        if words[-1] == "restarts":
+            runner.restart()
+            return
+        runner.fault = words[-1]
+        await asyncio.sleep(pause_s)
+        runner.fault = ""
+    else:
+        await disturb_node(world, words[0], what.partition(" ")[2], pause_s)
+
+
+async def disturb_node(world, name, what, pause_s):
+    process = world.fleet.process_by_name[name]
+    fault = world.proxy_by_node[name].fault
+    match what:
+        case "is killed":
+            process.kill()
+            await asyncio.sleep(0.5)
+            world.fleet.restart(process)
+        case "is paused":
+            process.pause()
+            await asyncio.sleep(pause_s)
+            process.resume()
+        case "is terminated":
+            status = await asyncio.to_thread(process.terminate, 8)
+            assert status == 0, (status, process.tail())
+            world.fleet.restart(process)
+        case "is cut off" | "can't be heard" | "hears nothing":
+            fault.cuts_to = what != "can't be heard"
+            fault.cuts_from = what != "hears nothing"
+            await asyncio.sleep(pause_s)
+            fault.cuts_to = fault.cuts_from = False
+        case "has its links reset":
+            world.proxy_by_node[name].reset()
+        case _:
+            raise AssertionError(f"unknown fault {what!r}")
+
+
+@step("jobs that arrive afterwards are served")
+def check_afterwards(context):
+    outcomes = event_loop.run(context, load(context.world, 20, (2, 50), 1.0))
+    assert outcomes.count("completed") >= 19, outcomes
+
+
+@when("all nodes are killed and started again")
+def kill_all(context):
+    fleet = context.world.fleet
+    for process in fleet.process_by_name.values():
+        process.kill()
+    for process in list(fleet.process_by_name.values()):
+        fleet.restart(process)
+    event_loop.run(context, context.world.wait_ready())
+    event_loop.run(context, asyncio.sleep(SETTLED_S))
+
+
+@when("one job of {tasks:d} tasks of {ms:d} ms is sent twice at the same time")
+def send_twice(context, tasks, ms):
+    context.job, body = context.world.new_job(tasks, ms)
+
+    async def both():
+        post = context.world.post
+        return await asyncio.gather(*(post(0, context.job, body, WAIT_S) for _ in range(2)))
+
+    context.replies = event_loop.run(context, both())
+
+
+@then("both callers get 200 completed")
+def check_both(context):
+    assert [(status, body["State"]) for status, body, _ in context.replies] == [
+        (200, "completed")
+    ] * 2
+
+
+@then("each of its tasks started once")
+def check_once(context):
+    starts = context.world.ledger.starts_by_task
+    assert set(starts.values()) == {1}, starts
+
+
+@when("a job with {change} is sent to {path}")
+def send_changed(context, change, path):
+    _, body = context.world.new_job(1, 50)
+    if change != "nothing":
+        name, _, value = change.partition("=")
+        body[name] = json.loads(value)
+    ip = f"http://{context.world._entry_ips[0]}:{platform_world.CALLER_PORT}"
+
+    async def send():
+        headers = {"Host": platform_world.HOST_NAME}
+        async with context.world.session.post(f"{ip}{path}", json=body, headers=headers) as reply:
+            return reply.status, await reply.text()
+
+    context.reply = event_loop.run(context, send())
+
+
+@then("the answer is {status:d} and names {text}")
+def check_refusal(context, status, text):
+    assert context.reply[0] == status, context.reply
+    assert text in context.reply[1], context.reply
+
+
+@then("nothing has started")
+def check_no_start(context):
+    assert not context.world.ledger.starts_by_task
+
+
+@when("one failing job of {tasks:d} tasks of {ms:d} ms is sent")
+def send_failing(context, tasks, ms):
+    job, body = context.world.new_job(tasks, ms, fails=True)
+    context.reply = event_loop.run(context, context.world.post(0, job, body, WAIT_S))
+
+
+@when("a job of a step of 2 tasks and a step after it is sent")
+def send_steps(context):
+    job, body = context.world.new_job(3, 100)
+    first = body["Steps"][0]
+    body["Steps"] = [{**first, "Count": 2}, {**first, "Count": 1, "After": [0]}]
+    context.job = job
+    context.sent_at = time.monotonic()
+    context.reply = event_loop.run(context, context.world.post(0, job, body, WAIT_S))
+
+
+@then("the second step started after the first had ended")
+def check_order(context):
+    order = context.world.ledger.order
+    first_ends = [order.index(("end", f"{context.job}.0.0.{n}")) for n in range(2)]
+    assert order.index(("start", f"{context.job}.0.1.0")) > max(first_ends), order
+
+
+@then("the answer is {status:d} {state}")
+def check_answer(context, status, state):
+    found, body, _ = context.reply
+    assert found == status, context.reply
+    assert state in (body.get("State"), body.get("Error")), context.reply
+
+
+@when("one job of 2 tasks of 3000 ms is sent to entry 0 and cancelled at entry 1")
+def send_and_cancel(context):
+    job, body = context.world.new_job(2, 3000)
+
+    async def both():
+        posting = asyncio.create_task(context.world.post(0, job, body, WAIT_S))
+        await asyncio.sleep(0.5)
+        assert await context.world.delete(1, job) == 200
+        return await posting
+
+    context.reply = event_loop.run(context, both())
+
+
+@when("one job of 2 tasks of 3000 ms is sent and its caller leaves")
+def send_and_leave(context):
+    job, body = context.world.new_job(2, 3000)
+
+    async def leave():
+        posting = asyncio.create_task(context.world.post(0, job, body, WAIT_S))
+        await asyncio.sleep(0.5)
+        assert any(context.world.ledger.running_by_task.values())
+        posting.cancel()
+
+    event_loop.run(context, leave())
+
+
+@then("nothing runs within {seconds:g} s")
+def check_idle(context, seconds):
+    event_loop.run(context, asyncio.sleep(seconds))
+    running = context.world.ledger.running_by_task
+    assert not any(running.values()), running
+
+
+@when("the configuration gets a route {prefix}")
+def add_route(context, prefix):
+    route = {"Name": "late", "Host": platform_world.HOST_NAME, "PathPrefix": prefix}
+    route |= {"Service": platform_world.POOL, "MaxAttempts": 1, "Stretch": 2.0}
+    context.world.configure(routes=[route])
+
+
+async def knows(world, entry, prefix):
+    status, _ = await world.get(entry, prefix)
+    return status == 200
+
+
+@then("every entry knows {prefix} within {seconds:g} s")
+def check_known(context, prefix, seconds):
+    async def wait():
+        async with asyncio.timeout(seconds):
+            for entry in range(2):
+                while not await knows(context.world, entry, prefix):
+                    await asyncio.sleep(0.05)
+
+    event_loop.run(context, wait())
+
+
+@when("the store forgets its history and the configuration drops the route")
+def drop_route(context):
+    context.world.configure()
+    context.world.store.forget_history()
+
+
+@then("no entry knows {prefix} after {seconds:g} s")
+def check_dropped(context, prefix, seconds):
+    async def check():
+        await asyncio.sleep(seconds)
+        for _ in range(20):
+            for entry in range(2):
+                assert not await knows(context.world, entry, prefix)
+
+    event_loop.run(context, check())
+
+
+@when("the store goes down and entry 1 is killed and started again")
+def restart_without_store(context):
+    context.world.store.fault = "down"
+    process = context.world.fleet.process_by_name["entry-1"]
+    process.kill()
+    context.world.fleet.restart(process)
+
+
+@then("entry {entry:d} is ready within {seconds:g} s")
+def check_ready(context, entry, seconds):
+    async def wait():
+        async with asyncio.timeout(seconds):
+            while not await context.world.is_ready(entry):
+                await asyncio.sleep(0.05)
+
+    event_loop.run(context, wait())
--- a/src/daisyfall/platform/_runner.py
+++ b/src/daisyfall/platform/_runner.py
@@ -8,10 +8,6 @@
 from daisyfall.platform import _http
 from daisyfall.process import _leased_runner
 
-# The runner is on the same host; an answer that takes longer is treated as lost.
-CALL_LIMIT_S = 0.25
-HOLD_MARGIN_S = 0.3
-
 _START_BY_REASON = {
     "room": _leased_runner.Start.NO_ROOM,
     "late": _leased_runner.Start.LATE,
@@ -40,17 +36,17 @@
         self._headers = {"X-Expected-Instance": report.id}
 
     async def start(
-        self, task: str, run: int, payload: str, lease_until_ms: int, token: int
+        self, order: _leased_runner.StartOrder, limit_s: float
     ) -> tuple[_leased_runner.Start, float]:
         """Order a run; return the answer and the runner's clock (0 without one)."""
         body = {
-            "Task": _task_name(task),
-            "Run": run,
-            "Specification": payload,
-            "DeadlineMs": lease_until_ms,
-            "FencingToken": token,
+            "Task": _task_name(order.task),
+            "Run": order.run,
+            "Specification": order.payload,
+            "DeadlineMs": order.lease_until_ms,
+            "FencingToken": order.token,
         }
-        status, reply = await self._call("/run-start", body, CALL_LIMIT_S)
+        status, reply = await self._call("/run-start", body, limit_s)
         clock_ms = _clock(reply)
         match status:
             case _leased_runner.Start():
@@ -62,20 +58,25 @@
                 return _START_BY_REASON.get(reason, _leased_runner.Start.REJECTED), clock_ms
         return _start_of(status), clock_ms
 
-    async def stop(self, task: str, run: int, token: int) -> bool:
+    async def stop(self, task: str, run: int, token: int, limit_s: float) -> bool:
         """Order an end; tell whether the runner confirmed it."""
         body = {"Task": _task_name(task), "Run": run, "FencingToken": token}
-        status, _ = await self._call("/run-stop", body, CALL_LIMIT_S)
+        status, _ = await self._call("/run-stop", body, limit_s)
         return status == 200
 
     async def hold(
-        self, lease_until_ms: int | None, token: int, acknowledged: int, wait_ms: int
+        self,
+        lease_until_ms: int | None,
+        token: int,
+        acknowledged: int,
+        wait_ms: int,
+        limit_s: float,
     ) -> _leased_runner.Reading | _leased_runner.HoldFailed:
         """Renew the lease of all runs, acknowledge ends, and read both lists."""
         body = {"FencingToken": token, "AckCursor": acknowledged, "WaitMs": wait_ms}
         if lease_until_ms is not None:
             body["DeadlineMs"] = lease_until_ms
-        status, reply = await self._call("/hold", body, wait_ms / 1000 + HOLD_MARGIN_S)
+        status, reply = await self._call("/hold", body, wait_ms / 1000 + limit_s)
         match status:
             case _leased_runner.Start():
                 return _leased_runner.HoldFailed(status)
--- a/src/daisyfall/platform/node.py
+++ b/src/daisyfall/platform/node.py
@@ -51,11 +51,11 @@
 def main() -> None:
     """Run the role that the command line names and exit with its status."""
     arguments = sys.argv[1:]
-    if len(arguments) != 1 or arguments[0] not in ROLES:
-        print(f"usage: node.py {'|'.join(ROLES)}, found {arguments}", file=sys.stderr)
+    if len(arguments) not in (1, 2) or arguments[0] not in ROLES:
+        print(f"usage: node.py {'|'.join(ROLES)} [FILE], found {arguments}", file=sys.stderr)
         sys.exit(USAGE_ERROR)
-    role = arguments[0]
-    path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_FILE)
+    role, *files = arguments
+    path = files[0] if files else os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_FILE)
     try:
         settings = _node_settings.load(path, ROLES.index(role))
         bounds = _bounds.derive(settings.longest_lease_s, settings.stop_task_s, settings.resend_s)
@@ -217,3 +217,7 @@
 def _log_failure(task: asyncio.Task) -> None:
     if not task.cancelled() and task.exception() is not None:
         loguru.logger.opt(exception=task.exception()).error("a task of the process failed")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/daisyfall/policy/_evidence.py
+++ b/src/daisyfall/policy/_evidence.py
@@ -62,27 +62,27 @@
             self.state = State.IN
             self.pause_s = FIRST_PAUSE_S
 
-    def failed(self, job_id: str, now: float) -> None:
+    def failed(self, job_id: str, now: float, *, may_leave_out: bool = True) -> None:
         """Note a task that failed; several tasks of one job speak against the job instead."""
         if job_id != self._last_job:
             self._last_job = job_id
-            self._strike(1.0, now)
+            self._strike(1.0, now, may_leave_out)
 
-    def faulted(self, now: float) -> None:
+    def faulted(self, now: float, *, may_leave_out: bool = True) -> None:
         """Note an order that the runner left unanswered, or a task that stands still."""
-        self._strike(FAULT_WEIGHT, now)
+        self._strike(FAULT_WEIGHT, now, may_leave_out)
 
     def slowed(self, ratio: float) -> None:
         """Note the run time of a task, or its extrapolation, over the expected one."""
         ratio = min(max(ratio, LOWEST_SLOWNESS), HIGHEST_SLOWNESS)
         self.slowness += SMOOTHING * (ratio - self.slowness)
 
-    def _strike(self, weight: float, now: float) -> None:
+    def _strike(self, weight: float, now: float, may_leave_out: bool) -> None:
         self.strikes += weight
         if self.state is State.PROBE:
             self.pause_s = min(2 * self.pause_s, LONGEST_PAUSE_S)
             self._leave_out(now)
-        elif self.state is State.IN and self.strikes >= OUT_JOBS:
+        elif self.state is State.IN and self.strikes >= OUT_JOBS and may_leave_out:
             self._leave_out(now)
 
     def _leave_out(self, now: float) -> None:
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -30,6 +30,9 @@
     retry_after_s: float
 
 
+# Part of a pool's runners that evidence may take out at the same time.
+LARGEST_OUT_SHARE = 1 / 3
+
 IN_VAIN = "in_vain"
 OVERDUE = "overdue"
 FULL = "full"
@@ -87,12 +90,13 @@
         if room is None:
             return
         room.release(task)
+        may_leave_out = self._may_leave_out(room.pool)
         if how == DONE:
             room.evidence.succeeded()
         elif how == FAILED:
-            room.evidence.failed(job_id, now)
+            room.evidence.failed(job_id, now, may_leave_out=may_leave_out)
         elif how in FAULTY_ENDS:
-            room.evidence.faulted(now)
+            room.evidence.faulted(now, may_leave_out=may_leave_out)
 
     def slowed(self, runner_id: str, ratio: float) -> None:
         """Note how slow a runner is compared with the expected run times."""
@@ -149,6 +153,12 @@
             if each.is_open and each.is_known and each.evidence.state is _evidence.State.IN
         ]
 
+    def _may_leave_out(self, pool: str) -> bool:
+        """Tell whether one more runner may be out; failures everywhere speak against the work."""
+        runners = self._runners(pool)
+        out = sum(each.evidence.state is not _evidence.State.IN for each in runners)
+        return out < max(1, int(len(runners) * LARGEST_OUT_SHARE))
+
     def _refuse_at_arrival(self, item: _waiting.Item, now: float) -> Refusal | None:
         runners = self._runners(item.pool)
         if runners and not all(
--- a/src/daisyfall/policy/_waiting.py
+++ b/src/daisyfall/policy/_waiting.py
@@ -15,6 +15,9 @@
 
 # A full queue bounds memory; at the usual job size it holds several seconds of work.
 LONGEST_QUEUE = 4_000
+# Part of the time until its latest start that an arriving job may be expected to wait. Under
+# steady overload the queue stands at this limit, so the rest is left for run times that vary.
+LARGEST_WAIT_PART = 0.5
 # Shortest and longest hint to come back, in seconds.
 RETRY_AFTER_S = (0.5, 10.0)
 
@@ -81,7 +84,7 @@
         return now >= item.ends_by
     if cores <= 0:
         return now >= item.latest_start
-    return now + work_before / cores > item.latest_start
+    return work_before / cores > LARGEST_WAIT_PART * (item.latest_start - now)
 
 
 def is_overdue(item: Item, now: float) -> bool:
--- a/src/daisyfall/process/_leased_runner.py
+++ b/src/daisyfall/process/_leased_runner.py
@@ -35,6 +35,17 @@
     BROKEN = "broken"
 
 
+@attrs.frozen
+class StartOrder:
+    """Order to start one run; the runner refuses it once its lease has passed."""
+
+    task: str
+    run: int
+    payload: str
+    lease_until_ms: int
+    token: int
+
+
 @attrs.frozen
 class RunnerReport:
     """One heartbeat of a runner; `born_ms` and `id` name its incarnation."""
@@ -89,17 +100,20 @@
 
 
 class LeasedRunner(Protocol):
-    """Calls to one incarnation of a runner."""
+    """Calls to one incarnation of a runner; `limit_s` is how long an answer may take."""
 
-    async def start(
-        self, task: str, run: int, payload: str, lease_until_ms: int, token: int
-    ) -> tuple[Start, float]:
+    async def start(self, order: StartOrder, limit_s: float) -> tuple[Start, float]:
         """Order a run; return the answer and the runner's clock (0 without one)."""
 
-    async def stop(self, task: str, run: int, token: int) -> bool:
+    async def stop(self, task: str, run: int, token: int, limit_s: float) -> bool:
         """Order an end; tell whether the runner confirmed it."""
 
     async def hold(
-        self, lease_until_ms: int | None, token: int, acknowledged: int, wait_ms: int
+        self,
+        lease_until_ms: int | None,
+        token: int,
+        acknowledged: int,
+        wait_ms: int,
+        limit_s: float,
     ) -> Reading | HoldFailed:
         """Renew the lease of all runs, acknowledge ends, and read both lists."""
--- a/src/daisyfall/process/_pool_agent.py
+++ b/src/daisyfall/process/_pool_agent.py
@@ -18,9 +18,13 @@
 # Several beats fit into the silence limit.
 BEATS_PER_SILENCE = 3
 # Longest wait of a renewal for an end; the lease covers several.
-HOLD_WAIT_MS = 120
+HOLD_WAIT_MS = 100
 IDLE_HOLD_WAIT_MS = 250
-HOLD_RETRY_S = 0.05
+HOLD_RETRY_S = 0.01
+# A call counts as unanswered after this many times its usual time, within these bounds.
+USUAL_TIMES = 8.0
+ANSWER_LIMITS_S = (0.05, 0.25)
+ANSWER_SMOOTHING = 0.1
 # A start order that is carried out late is rejected by the runner after this time.
 START_LEASE_MS = 400
 ROOM_REPORT_S = 0.3
@@ -32,6 +36,8 @@
 UNANSWERED_RENEWALS_S = 0.4
 # A runner's port without a listener this many times in a row: its process is gone.
 REFUSED_CONNECTIONS = 2
+# Calls in a row without an answer after which the runner gets no new tasks for a while.
+UNANSWERED_CALLS = 3
 # Refused for this long after the runner says that it is unhealthy or does not answer.
 UNHEALTHY_S = 0.5
 # A run is extrapolated after this part of its expected time.
@@ -86,6 +92,8 @@
         self._answered_at = 0.0
         self._lease_until = 0.0
         self._failed_holds = 0
+        self._unanswered = 0
+        self._answer_s = 0.0
         self._token = settings.started_ms
         self._unhealthy_until = 0.0
         self._sent_state: _pool_wire.RunnerState | None = None
@@ -127,7 +135,6 @@
     def _tick(self, now: float) -> None:
         self._expire_sessions(now)
         self._tell(self._runs.overdue(now))
-        self._runs.mark_stalled(now)
         self._send_stops(now)
         self._report_room(now)
         self._send_changed_state()
@@ -378,8 +385,12 @@
     async def _start(self, runner: _leased_runner.LeasedRunner, run: _runs.Run) -> None:
         order = run.order
         sent_at = _clock.monotonic()
+        lease_until_ms = self._runner_ms() + START_LEASE_MS
         answer, clock_ms = await runner.start(
-            order.task, run.number, order.payload, self._runner_ms() + START_LEASE_MS, self._token
+            _leased_runner.StartOrder(
+                order.task, run.number, order.payload, lease_until_ms, self._token
+            ),
+            self._answer_limit_s(),
         )
         if runner is not self._runner:
             return
@@ -388,29 +399,52 @@
         log = loguru.logger.bind(task=order.task, run=run.number, answer=answer.value)
         log.bind(after_ms=round((now - sent_at) * 1000)).info("start ordered")
         self.metrics.start_answered(answer.value)
+        self._answer_s += ANSWER_SMOOTHING * (now - sent_at - self._answer_s)
         match answer:
             case _leased_runner.Start.STARTED:
                 self._runs.started(run, now)
             case _leased_runner.Start.UNANSWERED:
                 lease_s = START_LEASE_MS / 1000 * _bounds.CLOCK_DRIFT + _bounds.MARGIN_S
                 self._runs.unanswered(run, sent_at + lease_s)
-                self._pause_orders(now)
+                self._note_refusal(answer, now)
+                await self._settle_order(runner, run)
             case _:
                 self._note_refusal(answer, now)
                 self._end(run, answer.value, now)
         self._send_stops(now)
 
+    async def _settle_order(self, runner: _leased_runner.LeasedRunner, run: _runs.Run) -> None:
+        """Find out at once what became of an order without an answer.
+
+        Once the runner has confirmed a stop it rejects the order, so its next lists tell.
+        """
+        run.stop_sent_at = _clock.monotonic()
+        await self._stop_run(runner, run)
+        if runner is not self._runner:
+            return
+        asked_at = _clock.monotonic()
+        reading = await runner.hold(
+            None, self._token, self._runs.acknowledged, 0, self._answer_limit_s()
+        )
+        if runner is self._runner and isinstance(reading, _leased_runner.Reading):
+            self._take_reading(runner, reading, asked_at)
+
+    def _answer_limit_s(self) -> float:
+        shortest, longest = ANSWER_LIMITS_S
+        return min(max(shortest, USUAL_TIMES * self._answer_s), longest)
+
     def _note_refusal(self, answer: _leased_runner.Start, now: float) -> None:
         match answer:
             case _leased_runner.Start.FENCED:
                 self._token += TOKEN_STEP
                 loguru.logger.bind(token=self._token).warning("fencing token was too low")
-            case (
-                _leased_runner.Start.UNHEALTHY
-                | _leased_runner.Start.UNREACHABLE
-                | _leased_runner.Start.UNANSWERED
-            ):
+            case _leased_runner.Start.UNHEALTHY | _leased_runner.Start.UNREACHABLE:
                 self._pause_orders(now)
+            case _leased_runner.Start.UNANSWERED:
+                # Single lost answers say nothing about the runner.
+                self._unanswered += 1
+                if self._unanswered >= UNANSWERED_CALLS:
+                    self._pause_orders(now)
 
     def _pause_orders(self, now: float) -> None:
         self._unhealthy_until = now + UNHEALTHY_S
@@ -427,14 +461,14 @@
                 self._spawn(self._stop_run(self._runner, run))
 
     async def _stop_run(self, runner: _leased_runner.LeasedRunner, run: _runs.Run) -> None:
-        is_confirmed = await runner.stop(run.task, run.number, self._token)
-        if is_confirmed and run.phase is _runs.Phase.UNANSWERED:
-            # The runner rejects the order from now on, so only its lists have to agree.
-            run.lease_until = min(run.lease_until, _clock.monotonic())
+        is_confirmed = await runner.stop(run.task, run.number, self._token, self._answer_limit_s())
+        if is_confirmed:
+            self._runs.stop_confirmed(run, _clock.monotonic())
 
     def _read_clock(self, clock_ms: float) -> None:
         """Take over the runner's clock from an answer that has just arrived."""
         if clock_ms:
+            self._unanswered = 0
             self._clock_offset_ms = clock_ms - _clock.monotonic() * 1000
 
     async def _hold_forever(self, runner: _leased_runner.LeasedRunner) -> None:
@@ -452,6 +486,7 @@
                 self._token,
                 self._runs.acknowledged,
                 wait_ms if self._is_held else 0,
+                self._answer_limit_s(),
             )
             if runner is not self._runner:
                 return
@@ -475,7 +510,7 @@
         self._tell(self._runs.read(reading, asked_at, now))
         for orphan in self._runs.orphans(reading):
             loguru.logger.bind(task=orphan.task, run=orphan.run).warning("stopping an unknown run")
-            self._spawn(runner.stop(orphan.task, orphan.run, self._token))
+            self._spawn(runner.stop(orphan.task, orphan.run, self._token, self._answer_limit_s()))
         self._send_changed_state()
         self._start_queued()
 
--- a/src/daisyfall/request/_runs.py
+++ b/src/daisyfall/request/_runs.py
@@ -13,8 +13,6 @@
 from daisyfall.policy import _bounds
 from daisyfall.process import _leased_runner
 
-# An order without an answer is checked for and stopped after this time.
-ANSWER_LIMIT_S = 0.25
 # A run that is in none of two lists in a row, asked for after its start, has ended unseen.
 MISSES = 2
 # Ends are told again to an entry that resumes its link within this time.
@@ -211,6 +209,11 @@
                 run.phase = Phase.STOPPING
         return due
 
+    def stop_confirmed(self, run: Run, now: float) -> None:
+        """Note that the runner confirmed a stop; it rejects an unanswered order from now on."""
+        if run.phase is Phase.UNANSWERED:
+            run.lease_until = min(run.lease_until, now)
+
     def resumed(self, entry: str, tasks: list[str], now: float) -> tuple[list[str], list[Ended]]:
         """Match an entry's list after it reconnected: what is here, and ends it may have missed."""
         wanted = set(tasks)
@@ -249,13 +252,6 @@
             if each.task not in self.by_task or self.by_task[each.task].number != each.run
         ]
 
-    def mark_stalled(self, now: float) -> None:
-        """Mark runs whose progress stands still for stopping."""
-        for run in self.by_task.values():
-            limit_s = max(SHORTEST_STALL_S, STALL_PART * run.order.expected_ms / 1000)
-            if run.phase is Phase.RUNNING and not run.why and now - run.moved_at > limit_s:
-                run.why = STALLED
-
     def must_withhold(self, now: float) -> bool:
         """Tell whether the lease may not be renewed because a stop was not confirmed in time."""
         return any(
@@ -302,6 +298,9 @@
         if listed.percent != run.percent:
             run.percent = listed.percent
             run.moved_at = now
+        limit_s = max(SHORTEST_STALL_S, STALL_PART * run.order.expected_ms / 1000)
+        if run.phase is Phase.RUNNING and not run.why and now - run.moved_at > limit_s:
+            run.why = STALLED
 
     def _expire_order(self, run: Run, asked_at: float, now: float) -> list[Ended | None]:
         if asked_at > run.lease_until:
