Move tasks off slow runners; explain a job from logs; a fault soak

Requests that waited in the sockets of a paused entry were refused. On-call engineers had no tool to follow one id over all logs.

Change: an agent compares the progress of its tasks with their expected run times; where the median says that the runner is slow, tasks that would end much earlier elsewhere are stopped and placed again, each once. Requests read after a pause are held until their callers' ends have been seen, then served. daisyfallctl explain JOB LOGS... prints the story of a job. make soak: random fault series on the real programs.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo measure slopes clean
+.PHONY: install test lint format demo measure slopes soak clean
 
 install: $(STAMP)
 
@@ -14,12 +14,12 @@
 	touch $(STAMP)
 
 lint: $(STAMP)
-	$(VENV)/bin/ruff format --check src features
-	$(VENV)/bin/ruff check src features
+	$(VENV)/bin/ruff format --check src features deploy
+	$(VENV)/bin/ruff check src features deploy
 
 format: $(STAMP)
-	$(VENV)/bin/ruff format src features
-	$(VENV)/bin/ruff check --fix src features
+	$(VENV)/bin/ruff format src features deploy
+	$(VENV)/bin/ruff check --fix src features deploy
 
 test: lint
 	$(PY) -m daisyfall_standins.verdict features
@@ -33,5 +33,8 @@
 slopes: $(STAMP)
 	$(PY) -m daisyfall_standins.slopes $(ARGS)
 
+soak: $(STAMP)
+	$(PY) -m daisyfall_standins.soak $(ARGS)
+
 clean:
 	rm -rf $(VENV) build src/*.egg-info .ruff_cache .hypothesis
--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -209,8 +209,8 @@
     When daisyfallctl runs "token colibri-cosmetics --json"
     Then the daisyfallctl token is accepted with its salt and hash
 
-  Scenario: docs/operations.md lists the exit statuses
-    Then the daisyfallctl exit statuses in docs/operations.md match the code
+  Scenario: docs/OPERATIONS.md lists the exit statuses
+    Then the daisyfallctl exit statuses in docs/OPERATIONS.md match the code
 
-  Scenario: docs/operations.md and the help name the same commands
-    Then the daisyfallctl commands in docs/operations.md match the code
+  Scenario: docs/OPERATIONS.md and the help name the same commands
+    Then the daisyfallctl commands in docs/OPERATIONS.md match the code
--- /dev/null
+++ b/features/pool_faults_entry.feature
@@ -0,0 +1,16 @@
+Feature: Faults of the entry that schedules, during a load
+  Three entries and three agents as processes; callers send lost jobs again.
+
+  Scenario Outline: faults of the entry that schedules
+    Given a platform world of 3 entries and 3 agents
+    When 60 jobs of 3 tasks of 100 ms arrive within 4 s, and after 1 s <fault>
+    Then at least <share>% of the jobs are complete
+    And no promise is broken
+    And jobs that arrive afterwards are served
+
+    Examples:
+      | fault                            | share |
+      | entry-0 is killed                | 95    |
+      | entry-0 is paused for 2 s        | 90    |
+      | entry-0 is terminated            | 95    |
+      | entry-0 is cut off for 2 s       | 90    |
--- a/features/pool_path.feature
+++ b/features/pool_path.feature
@@ -55,32 +55,6 @@
     When one job of 2 tasks of 3000 ms is sent and its caller leaves
     Then nothing runs within 0.5 s
 
-  Scenario Outline: one fault during a load
-    Given a platform world of 3 entries and 3 agents
-    When 60 jobs of 3 tasks of 100 ms arrive within 4 s, and after 1 s <fault>
-    Then at least <share>% of the jobs are complete
-    And no promise is broken
-    And jobs that arrive afterwards are served
-
-    Examples:
-      | fault                            | share |
-      | entry-0 is killed                | 95    |
-      | entry-0 is paused for 2 s        | 90    |
-      | entry-0 is terminated            | 95    |
-      | agent-0 is killed                | 90    |
-      | agent-0 is paused for 2 s        | 90    |
-      | agent-0 is terminated            | 95    |
-      | entry-0 is cut off for 2 s       | 90    |
-      | agent-0 can't be heard for 2 s   | 90    |
-      | agent-0 hears nothing for 2 s    | 90    |
-      | agent-0 has its links reset      | 95    |
-      | the store is down for 3 s        | 99    |
-      | the store is silent for 3 s      | 99    |
-      | the runner of agent-0 restarts   | 90    |
-      | the runner of agent-0 is silent for 2 s  | 85 |
-      | the runner of agent-0 is failing for 2 s | 85 |
-      | the runner of agent-0 is stalled for 2 s | 85 |
-
   Scenario: all processes are killed at once
     Given a platform world of 2 entries and 3 agents
     When all nodes are killed and started again
--- a/features/pool_runs.feature
+++ b/features/pool_runs.feature
@@ -120,3 +120,14 @@
     And its start is confirmed
     And the runner lists end 1 of j.0.0 as done
     Then the ends told are j.0.0:lost j.0.0:done
+
+  # A runner that turned seven times slow kept its tasks until their jobs were worthless.
+  Scenario: tasks of a slow runner are moved, each of them once
+    When entry e orders tasks a.0.0 b.0.0 c.0.0 that may move, and d.0.0 that may not
+    And all progress to 4 percent within 0.25 s
+    Then stops of a.0.0 b.0.0 c.0.0 are due
+
+  Scenario: one task with a wrong estimate doesn't make its runner slow
+    When entry e orders tasks a.0.0 b.0.0 c.0.0 that may move, and d.0.0 that may not
+    And a.0.0 progresses to 4 percent and the others to 50 percent within 0.25 s
+    Then no stop is due
--- a/features/steps/ctl_steps.py
+++ b/features/steps/ctl_steps.py
@@ -189,9 +189,9 @@
     assert _lists.verify_token(lists, f"{made['token']}x") is None
 
 
-@then("the daisyfallctl exit statuses in docs/operations.md match the code")
+@then("the daisyfallctl exit statuses in docs/OPERATIONS.md match the code")
 def check_statuses(context):
-    found = documents.read("docs/operations.md", ["status", "name"])
+    found = documents.read("docs/OPERATIONS.md", ["status", "name"])
     expected = [(str(each.value), each.name) for each in _ctl_output.Exit]
     documents.compare(found, expected)
 
@@ -204,8 +204,8 @@
             yield from walk(inner, f"{path} {word}")
 
 
-@then("the daisyfallctl commands in docs/operations.md match the code")
+@then("the daisyfallctl commands in docs/OPERATIONS.md match the code")
 def check_commands(context):
-    found = documents.read("docs/operations.md", ["command"])
+    found = documents.read("docs/OPERATIONS.md", ["command"])
     expected = [*walk(ctl.COMMANDS, "daisyfallctl"), *walk(daemon.COMMANDS, "daisyfalld")]
     documents.compare(found, expected)
--- /dev/null
+++ b/features/steps/pool_observation_steps.py
@@ -0,0 +1,159 @@
+"""Steps on the logs of the pool dispatcher."""
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+import documents
+import loguru
+from behave import given, then, when
+
+from daisyfall.process import _decision_log, _pool_metrics
+
+
+def line(second, process, text, **fields):
+    record = {"at": f"2026-01-01T00:00:{second:06.3f}+00:00", "level": "INFO", "text": text}
+    return json.dumps({**record, "process": process, "role": "x", **fields})
+
+
+@given("log files of an entry and an agent about jobs {first} and {second}")
+def write_logs(context, first, second):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = pathlib.Path(folder.name)
+    entry = [
+        line(1.0, "entry-1", "job taken", job=first),
+        line(1.1, "entry-1", "job taken", job=second),
+        line(1.2, "entry-1", "task ordered", job=first, task=f"{first}.0.0"),
+        line(3.0, "entry-1", "job ended", job=first, outcome="refused"),
+    ]
+    agent = [
+        "not a log line",
+        f"host-2 {line(2.0, 'agent-1', 'start ordered', task=first + '.0.0')}",
+    ]
+    (context.folder / "entry.log").write_text("\n".join(entry))
+    (context.folder / "agent.log").write_text("\n".join(agent))
+
+
+def ask(context, job, files):
+    command = [sys.executable, "-m", "daisyfall.ctl", "explain", job, *map(str, files)]
+    context.result = subprocess.run(command, capture_output=True, text=True, check=False)
+
+
+@when("the operator asks for the story of {job} in {file}")
+def ask_in(context, job, file):
+    ask(context, job, logs(context) if file == "the logs" else [context.folder / file])
+
+
+@when("the operator asks for the story of {job}")
+def ask_all(context, job):
+    ask(context, job, logs(context))
+
+
+def logs(context):
+    return [context.folder / "agent.log", context.folder / "entry.log"]
+
+
+@then("the exit status is {status:d}")
+def check_status(context, status):
+    assert context.result.returncode == status, context.result
+
+
+@then("the story says, in this order, {texts}")
+def check_story(context, texts):
+    story = context.result.stdout
+    places = [story.find(text.strip('"')) for text in texts.split('", "')]
+    assert -1 not in places and places == sorted(places), story
+
+
+@then("the story doesn't mention {job}")
+def check_other(context, job):
+    assert job not in context.result.stdout
+
+
+@then("the operator reads one line with {text}")
+def check_line(context, text):
+    lines = context.result.stderr.strip().splitlines()
+    assert len(lines) == 1 and text in lines[0], context.result.stderr
+
+
+def open_log(context, descriptor):
+    context.dropped = []
+    os.set_blocking(descriptor, False)
+    loguru.logger.remove()
+    sink = _decision_log.Sink(descriptor, context.dropped.append)
+    loguru.logger.add(sink.write, format="{message}")
+    context.add_cleanup(loguru.logger.remove)
+
+
+@given("a log whose reader has stopped")
+def open_pipe(context):
+    reader, writer = os.pipe()
+    context.add_cleanup(os.close, reader)
+    context.add_cleanup(os.close, writer)
+    open_log(context, writer)
+
+
+@given("a log to a file")
+def open_file(context):
+    descriptor, path = tempfile.mkstemp()
+    context.file = pathlib.Path(path)
+    context.add_cleanup(context.file.unlink)
+    context.add_cleanup(os.close, descriptor)
+    open_log(context, descriptor)
+
+
+@when("{count:d} lines are logged as {level}")
+def write_lines(context, count, level):
+    started = time.monotonic()
+    write = loguru.logger.warning if level == "warnings" else loguru.logger.info
+    for number in range(count):
+        write("a line", number=number)
+    context.took_s = time.monotonic() - started
+
+
+@then("logging took less than {seconds:g} s")
+def check_time(context, seconds):
+    assert context.took_s < seconds, context.took_s
+
+
+@then("dropped lines were counted")
+def check_dropped(context):
+    assert sum(context.dropped) > 0
+
+
+def read_lines(context, level):
+    found = [json.loads(each) for each in context.file.read_text().splitlines()]
+    return [each for each in found if each["level"] == level]
+
+
+@then("between {least:d} and {most:d} lines of information are in the file")
+def check_budget(context, least, most):
+    count = len(read_lines(context, "INFO"))
+    assert least <= count <= most, count
+
+
+@then("{count:d} warnings are in the file")
+def check_warnings(context, count):
+    assert len(read_lines(context, "WARNING")) == count
+
+
+@then("the drops are counted and the next line says how many")
+def check_report(context):
+    said = sum(each.get("dropped_before", 0) for each in read_lines(context, "WARNING"))
+    said += sum(each.get("dropped_before", 0) for each in read_lines(context, "INFO"))
+    assert said == sum(context.dropped) > 0, (said, sum(context.dropped))
+
+
+@then("docs/metrics.md lists exactly the metrics of the pool dispatcher")
+def check_metrics_page(_context):
+    metrics = _pool_metrics.PoolMetrics()
+    expected = []
+    for family in metrics.registry.collect():
+        name = f"{family.name}_total" if family.type == "counter" else family.name
+        expected.append((name, family.type))
+    documents.compare(documents.read("docs/metrics.md", ["pool metric", "type"]), expected)
--- a/features/steps/pool_path_steps.py
+++ b/features/steps/pool_path_steps.py
@@ -4,13 +4,12 @@
 import json
 import time
 
+import event_loop
 from behave import given, step, then, when
 
-from daisyfall_standins import platform_world, processes
-from features.steps import event_loop
+from daisyfall_standins import disturbances, platform_world, processes
 
 WAIT_S = 4.0
-SETTLED_S = 2.5
 
 
 @given("a platform world of {entries:d} entries and {agents:d} agents")
@@ -21,7 +20,7 @@
     event_loop.run(context, context.world.__aenter__())
     event_loop.at_end(context, context.world.__aexit__)
     event_loop.run(context, context.world.wait_ready())
-    event_loop.run(context, asyncio.sleep(SETTLED_S))
+    event_loop.run(context, asyncio.sleep(platform_world.SETTLED_S))
 
 
 async def load(world, count, shape, seconds, fault=None):
@@ -58,63 +57,19 @@
 def check_promises(context):
     findings = context.world.findings()
     assert not any(findings.values()), findings
+    assert not context.world.exits, context.world.exits
 
 
 @when("{count:d} jobs of 3 tasks of 100 ms arrive within {seconds:g} s, and after 1 s {fault}")
 def send_disturbed_load(context, count, seconds, fault):
-    disturbance = disturb(context.world, fault, 1.0)
-    context.outcomes = event_loop.run(
-        context, load(context.world, count, (3, 100), seconds, disturbance)
-    )
 
+    async def disturb():
+        await asyncio.sleep(1.0)
+        await disturbances.inject(context.world, fault)
 
-async def disturb(world, fault, after_s):
-    """Carry out a fault that is written as in the tables."""
-    await asyncio.sleep(after_s)
-    what, _, seconds = fault.partition(" for ")
-    pause_s = float(seconds.split()[0]) if seconds else 0.0
-    words = what.split()
-    if what.startswith("the store"):
-        world.store.fault = words[-1]
-        await asyncio.sleep(pause_s)
-        world.store.fault = ""
-    elif what.startswith("the runner of"):
-        runner = world.runner_by_agent[words[3]]
-        if words[-1] == "restarts":
-            runner.restart()
-            return
-        runner.fault = words[-1]
-        await asyncio.sleep(pause_s)
-        runner.fault = ""
-    else:
-        await disturb_node(world, words[0], what.partition(" ")[2], pause_s)
-
-
-async def disturb_node(world, name, what, pause_s):
-    process = world.fleet.process_by_name[name]
-    fault = world.proxy_by_node[name].fault
-    match what:
-        case "is killed":
-            process.kill()
-            await asyncio.sleep(0.5)
-            world.fleet.restart(process)
-        case "is paused":
-            process.pause()
-            await asyncio.sleep(pause_s)
-            process.resume()
-        case "is terminated":
-            status = await asyncio.to_thread(process.terminate, 8)
-            assert status == 0, (status, process.tail())
-            world.fleet.restart(process)
-        case "is cut off" | "can't be heard" | "hears nothing":
-            fault.cuts_to = what != "can't be heard"
-            fault.cuts_from = what != "hears nothing"
-            await asyncio.sleep(pause_s)
-            fault.cuts_to = fault.cuts_from = False
-        case "has its links reset":
-            world.proxy_by_node[name].reset()
-        case _:
-            raise AssertionError(f"unknown fault {what!r}")
+    context.outcomes = event_loop.run(
+        context, load(context.world, count, (3, 100), seconds, disturb())
+    )
 
 
 @step("jobs that arrive afterwards are served")
@@ -131,7 +86,7 @@
     for process in list(fleet.process_by_name.values()):
         fleet.restart(process)
     event_loop.run(context, context.world.wait_ready())
-    event_loop.run(context, asyncio.sleep(SETTLED_S))
+    event_loop.run(context, asyncio.sleep(platform_world.SETTLED_S))
 
 
 @when("one job of {tasks:d} tasks of {ms:d} ms is sent twice at the same time")
@@ -250,9 +205,7 @@
 
 @when("the configuration gets a route {prefix}")
 def add_route(context, prefix):
-    route = {"Name": "late", "Host": platform_world.HOST_NAME, "PathPrefix": prefix}
-    route |= {"Service": platform_world.POOL, "MaxAttempts": 1, "Stretch": 2.0}
-    context.world.configure(routes=[route])
+    context.world.configure(prefixes=[prefix])
 
 
 async def knows(world, entry, prefix):
--- a/features/steps/pool_runs_steps.py
+++ b/features/steps/pool_runs_steps.py
@@ -12,9 +12,9 @@
 START_LEASE_S = 0.46
 
 
-def order_of(task, cpu, run=1):
+def order_of(task, cpu, may_move=False):
     job = task.split(".")[0]
-    return _pool_wire.RunTask(task, run, job, "{}", cpu, 10, 0, EXPECTED_MS, PATIENCE_MS)
+    return _pool_wire.RunTask(task, 1, job, "{}", cpu, 10, 0, EXPECTED_MS, PATIENCE_MS, may_move)
 
 
 @given("the runs at a runner of {cpu:d} and {memory:d} MB")
@@ -165,3 +165,36 @@
 @then("the unknown runs are {tasks}")
 def check_orphans(context, tasks):
     assert [each.task for each in context.runs.orphans(context.reading)] == tasks.split()
+
+
+@when("entry {entry} orders tasks {tasks} that may move, and {other} that may not")
+def give_orders(context, entry, tasks, other):
+    for task in [*tasks.split(), other]:
+        context.runs.accept(order_of(task, 1000, may_move=task != other), entry, context.now)
+    for run in start_queued(context):
+        context.runs.started(run, context.now)
+
+
+@when("all progress to {percent:d} percent within {seconds:g} s")
+def progress_all(context, percent, seconds):
+    running = [_leased_runner.Running(task, 1, percent) for task in context.runs.by_task]
+    read(context, tuple(running), (), seconds)
+    context.runs.mark_stragglers(context.now)
+
+
+@when(
+    "{task} progresses to {percent:d} percent and the others to {rest:d} percent "
+    "within {seconds:g} s"
+)
+def progress_apart(context, task, percent, rest, seconds):
+    running = [
+        _leased_runner.Running(each, 1, percent if each == task else rest)
+        for each in context.runs.by_task
+    ]
+    read(context, tuple(running), (), seconds)
+    context.runs.mark_stragglers(context.now)
+
+
+@then("stops of {tasks} are due")
+def check_stops(context, tasks):
+    assert [each.task for each in context.runs.to_stop(context.now)] == tasks.split()
--- a/src/daisyfall/_ctl_jobs.py
+++ b/src/daisyfall/_ctl_jobs.py
@@ -6,7 +6,7 @@
 
 import yaml
 
-from daisyfall import _checked, _command_line, _ctl_client, _ctl_output, _ids
+from daisyfall import _checked, _command_line, _ctl_client, _ctl_output, _ctl_story, _ids
 
 LARGEST_JOB_TASKS = 1_900
 # A submission is repeated with the same id, which starts no task twice.
@@ -87,8 +87,13 @@
 
 
 @_command_line.command
-def explain(job, *, url=None, json=False):
-    """Print why JOB is where it is: what is open, and what it waits for."""
+def explain(job, *logs, url=None, json=False):
+    """Print why JOB is where it is: what is open, and what it waits for.
+
+    With LOGS, files of log lines or - for standard input, print its story from those instead.
+    """
+    if logs:
+        return _ctl_story.tell(job, list(logs), as_json=json)
     return _show_state("GET", f"/v1/jobs/{_ctl_client.quote(job)}/explain", url, json)
 
 
--- a/src/daisyfall/_ctl_output.py
+++ b/src/daisyfall/_ctl_output.py
@@ -13,7 +13,7 @@
 
 
 class Exit(enum.IntEnum):
-    """Exit statuses; `docs/operations.md` lists them, and they never change their meaning."""
+    """Exit statuses; `docs/OPERATIONS.md` lists them, and they never change their meaning."""
 
     DONE = 0
     FAILED = 1  # unexpected error
--- a/src/daisyfall/_pool_wire.py
+++ b/src/daisyfall/_pool_wire.py
@@ -38,7 +38,10 @@
 
 @_wire.message(52)
 class RunTask:
-    """Entry to agent: run one task; it may wait `patience_ms` for room."""
+    """Entry to agent: run one task; it may wait `patience_ms` for room.
+
+    `may_move` allows the agent to end it on a slow runner so that it is placed elsewhere.
+    """
 
     task: str
     run: int
@@ -49,6 +52,7 @@
     accelerators: int
     expected_ms: float
     patience_ms: int
+    may_move: bool = False
 
 
 @_wire.message(53)
@@ -92,7 +96,10 @@
 
 @_wire.message(57)
 class RoomReport:
-    """Agent to the scheduling entry: all that holds room, `[task, job, cpu, MB, accelerators]`."""
+    """Agent to the scheduling entry: all that holds room, `[task, job, cpu, MB, accelerators]`.
+
+    `slowness` is the median of run times over the expected ones, 0 if unknown.
+    """
 
     held: list
     slowness: float
@@ -105,7 +112,6 @@
     task: str
     job_id: str
     how: str
-    ratio: float
 
 
 @_wire.message(60)
--- a/src/daisyfall/platform/_callers.py
+++ b/src/daisyfall/platform/_callers.py
@@ -85,7 +85,10 @@
             return _refuse(408, "the body was sent too slowly")
         if len(document) > self._entry.configuration.body_limit_bytes:
             return _refuse(413, "the body is too large")
-        wait_s = _wait_s(request, route) - (_clock.monotonic() - arrived)
+        pause_s = await self._entry.outwait_pause()
+        wait_s = _wait_s(request, route) - (_clock.monotonic() - arrived) - pause_s
+        if wait_s <= 0:
+            return _refuse(503, "the deadline has passed")
         try:
             submission = _documents.decode_submission(document, job_id, route, wait_s)
         except _documents.DocumentError as error:
--- a/src/daisyfall/policy/_evidence.py
+++ b/src/daisyfall/policy/_evidence.py
@@ -14,8 +14,10 @@
 FAULT_WEIGHT = 1.5
 FIRST_PAUSE_S = 1.0
 LONGEST_PAUSE_S = 8.0
-# Weight of a new slowness reading.
-SMOOTHING = 0.3
+# Weight of a new slowness reading, and of the usual pace when there is none: a runner that
+# gets no tasks because it was slow is tried again after some seconds.
+SMOOTHING = 0.5
+RECOVERY = 0.3
 # A probe that has not ended after this time does not keep the next one away.
 PROBE_LIMIT_S = 4.0
 LOWEST_SLOWNESS = 0.5
@@ -72,10 +74,13 @@
         """Note an order that the runner left unanswered, or a task that stands still."""
         self._strike(FAULT_WEIGHT, now, may_leave_out)
 
-    def slowed(self, ratio: float) -> None:
-        """Note the run time of a task, or its extrapolation, over the expected one."""
-        ratio = min(max(ratio, LOWEST_SLOWNESS), HIGHEST_SLOWNESS)
-        self.slowness += SMOOTHING * (ratio - self.slowness)
+    def slowed(self, pace: float) -> None:
+        """Take the median of run times over the expected ones, 0 if it is not known."""
+        if pace <= 0:
+            self.slowness += RECOVERY * (1.0 - self.slowness)
+            return
+        pace = min(max(pace, LOWEST_SLOWNESS), HIGHEST_SLOWNESS)
+        self.slowness += SMOOTHING * (pace - self.slowness)
 
     def _strike(self, weight: float, now: float, may_leave_out: bool) -> None:
         self.strikes += weight
--- a/src/daisyfall/policy/_room.py
+++ b/src/daisyfall/policy/_room.py
@@ -10,6 +10,8 @@
 
 # A placement that its runner's agent has not confirmed by then is taken back.
 UNCONFIRMED_S = 0.4
+# A runner this slow gets no task while others of the pool are faster, even if they are full.
+CRAWLING = 3.0
 # Slowness is compared in steps of this size, so that noise doesn't outweigh room.
 SLOWNESS_STEP = 0.5
 
@@ -120,12 +122,12 @@
 
 def choose(runners: list[RunnerRoom], demand: Demand, now: float) -> RunnerRoom | None:
     """Return the runner for a task, None if it has to wait."""
+    opened = [each for each in runners if each.is_open and each.is_known]
+    fast = [each for each in opened if each.evidence.slowness < CRAWLING]
     usable = [
         each
-        for each in runners
-        if each.is_open
-        and each.is_known
-        and each.fits(demand)
+        for each in fast or opened
+        if each.fits(demand)
         and (not demand.label or demand.label in each.labels)
         and each.evidence.may_take(now)
         and not _is_crowded(each, demand)
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -98,11 +98,11 @@
         elif how in FAULTY_ENDS:
             room.evidence.faulted(now, may_leave_out=may_leave_out)
 
-    def slowed(self, runner_id: str, ratio: float) -> None:
-        """Note how slow a runner is compared with the expected run times."""
+    def slowed(self, runner_id: str, pace: float) -> None:
+        """Note how slow a runner is compared with the expected run times, 0 if unknown."""
         room = self.room_by_id.get(runner_id)
         if room is not None:
-            room.evidence.slowed(ratio)
+            room.evidence.slowed(pace)
 
     def submit(self, item: _waiting.Item, now: float) -> list[Placement | Refusal]:
         """Queue the tasks of a job; return what is decided at once."""
--- a/src/daisyfall/process/_decision_log.py
+++ b/src/daisyfall/process/_decision_log.py
@@ -20,7 +20,7 @@
 _ALWAYS = ("WARNING", "ERROR", "CRITICAL")
 
 
-class _Sink:
+class Sink:
     """Writes lines to a file descriptor that does not block."""
 
     def __init__(self, descriptor: int, count_dropped: Callable[[int], None]):
@@ -32,6 +32,7 @@
         self._unwritten = b""
 
     def write(self, message) -> None:
+        """Write one record of loguru, or drop and count it."""
         record = message.record
         now = _clock.monotonic()
         self._budget = min(BURST_LINES, self._budget + (now - self._refilled_at) * LINES_PER_SECOND)
@@ -86,4 +87,4 @@
     os.set_blocking(descriptor, False)
     logger.remove()
     logger.configure(extra={"process": process_id, "role": role})
-    logger.add(_Sink(descriptor, count_dropped).write, level="INFO", format="{message}")
+    logger.add(Sink(descriptor, count_dropped).write, level="INFO", format="{message}")
--- a/src/daisyfall/process/_pool_agent.py
+++ b/src/daisyfall/process/_pool_agent.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import statistics
 from collections.abc import Callable
 
 import attrs
@@ -40,8 +39,6 @@
 UNANSWERED_CALLS = 3
 # Refused for this long after the runner says that it is unhealthy or does not answer.
 UNHEALTHY_S = 0.5
-# A run is extrapolated after this part of its expected time.
-SHORTEST_SAMPLE_S = 0.1
 
 
 @attrs.frozen
@@ -264,8 +261,7 @@
             if session is not None:
                 self._send_end(session, ended)
             order = ended.order
-            ratio = ended.run_ms / order.expected_ms if order.expected_ms else 0.0
-            freed = _pool_wire.RoomFreed(order.task, order.job_id, ended.how, ratio)
+            freed = _pool_wire.RoomFreed(order.task, order.job_id, ended.how)
             for each in self._sessions.values():
                 if each.schedules:
                     each.link.send(freed)
@@ -279,21 +275,10 @@
         for session in self._sessions.values():
             if session.schedules and now - session.reported_at >= ROOM_REPORT_S:
                 if held is None:
-                    held = _pool_wire.RoomReport(self._runs.held(), self._slowness(now))
+                    held = _pool_wire.RoomReport(self._runs.held(), self._runs.slowness(now))
                 session.reported_at = now
                 session.link.send(held)
 
-    def _slowness(self, now: float) -> float:
-        """Return the median of extrapolated over expected run times, 0 without a sample."""
-        ratios = []
-        for run in self._runs.by_task.values():
-            elapsed_s = now - run.started_at
-            if run.phase is _runs.Phase.RUNNING and elapsed_s > SHORTEST_SAMPLE_S:
-                expected_s = run.order.expected_ms / 1000
-                if run.percent > 0 and expected_s > 0:
-                    ratios.append(elapsed_s * 100 / run.percent / expected_s)
-        return statistics.median(ratios) if ratios else 0.0
-
     # The runner.
 
     def take_report(self, report: _leased_runner.RunnerReport) -> None:
@@ -508,6 +493,7 @@
             self._is_held = True
             loguru.logger.bind(running=len(reading.running)).info("runner answers")
         self._tell(self._runs.read(reading, asked_at, now))
+        self._runs.mark_stragglers(now)
         for orphan in self._runs.orphans(reading):
             loguru.logger.bind(task=orphan.task, run=orphan.run).warning("stopping an unknown run")
             self._spawn(runner.stop(orphan.task, orphan.run, self._token, self._answer_limit_s()))
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -24,7 +24,7 @@
 PATIENCE_MS = 100
 # Hopeless jobs of an agent that can't be reached are given up after this time.
 RECONNECT_S = 0.4
-# New requests are refused for this long after a pause; their callers may have left.
+# Requests that are read this soon after a pause are held as long; their callers may have left.
 UNSETTLED_S = 0.15
 STOP_POLL_S = 0.05
 # Reasons of agents that say nothing about the runner: the task may go there again.
@@ -73,7 +73,7 @@
         self._leadership = _leadership.Leadership(settings.id, settings.cores, settings.started_ms)
         self._incoming: dict[str, _link.Link] = {}
         self._is_draining = False
-        self._guard = _suspension.Guard(self._give_up_all)
+        self._guard = _suspension.Guard(self._reset_links)
         silence_s = settings.bounds.silence_s
         beat_to_agents = _pool_peers.Rhythm(
             self._agent_beat, silence_s / BEATS_PER_SILENCE, silence_s
@@ -153,10 +153,8 @@
             configuration_version=self.configuration.version if self.configuration else 0,
         )
 
-    def _give_up_all(self, _pause_s: float) -> None:
-        """Give up all jobs after a pause: agents have stopped them, callers have left."""
-        for job in list(self._job_by_id.values()):
-            self._give_up(job, "paused")
+    def _reset_links(self, _pause_s: float) -> None:
+        """Reset all links after a pause; what agents have stopped meanwhile is placed again."""
         self.peers.abort_all("this process was paused")
         for link in list(self._incoming.values()):
             link.abort("this process was paused")
@@ -184,10 +182,19 @@
         self._guard.check()
         if self.configuration is None:
             return "no_configuration"
-        if self._guard.resumed_within(UNSETTLED_S):
-            return "paused"
         return ""
 
+    async def outwait_pause(self) -> float:
+        """Return by how many seconds a request may be older than it looks.
+
+        After a pause of the process, requests that waited in the buffers of the sockets are held
+        until the ends of their connections, which lie behind them, have been seen.
+        """
+        pause_s = self._guard.pause_within(UNSETTLED_S)
+        if pause_s:
+            await asyncio.sleep(UNSETTLED_S)
+        return pause_s
+
     def waiting_jobs(self, route: str) -> int:
         """Return the jobs of a route that no task has started of, at all entries."""
         own = self._waiting_by_route().get(route, 0)
@@ -254,6 +261,7 @@
             start_within_ms=round((job.latest_start - now) * 1000),
             wait_ms=round(submission.wait_s * 1000),
             leader=self._leadership.leader_id,
+            configuration=self.configuration.version if self.configuration else 0,
         ).info("job taken")
         self._ask(job, job.unblock(), now)
         return future
@@ -319,10 +327,14 @@
         """Carry decisions of the own scheduler to the entries that asked for them."""
         for decision in decisions:
             item = decision.item
+            log = loguru.logger.bind(job=item.job_id, entry=item.entry_id)
+            log = log.bind(queued=self._scheduler.queued, cores=self._scheduler.cores(item.pool))
             match decision:
                 case _scheduler.Placement(runner_by_task=runner_by_task):
+                    log.bind(agents=list(runner_by_task.values())).info("tasks placed")
                     message = _pool_wire.Placed(item.id, item.job_id, runner_by_task)
                 case _scheduler.Refusal(reason=reason, retry_after_s=retry_after_s):
+                    log.bind(reason=reason, retry_after_s=round(retry_after_s, 1)).info("refused")
                     message = _pool_wire.PlaceRefused(
                         item.id, item.job_id, reason, round(retry_after_s * 1000)
                     )
@@ -419,6 +431,7 @@
         log.info("task is placed again")
         if reason == "old_run":
             task.run += _pool_jobs.OLD_RUN_STEP
+        task.was_moved |= reason == "straggling"
         job.put_back(task, avoids_agent=reason not in ROOM_REASONS)
         if job.can_still_end(now):
             self._ask(job, [task], now)
@@ -492,8 +505,6 @@
                 self._end_task(node.id, message)
             case _pool_wire.RoomFreed():
                 self._scheduler.ended(node.id, message.task, message.job_id, message.how, now)
-                if message.how == _scheduler.DONE and message.ratio:
-                    self._scheduler.slowed(node.id, message.ratio)
                 self._apply(self._scheduler.advance(now))
             case _pool_wire.RoomReport():
                 self._take_room(node.id, message, now)
@@ -563,8 +574,7 @@
             for task, job_id, cpu, memory_mb, accelerators in message.held
         }
         self._scheduler.report(agent_id, held_by_task, now)
-        if message.slowness:
-            self._scheduler.slowed(agent_id, message.slowness)
+        self._scheduler.slowed(agent_id, message.slowness)
         self._apply(self._scheduler.advance(now))
 
     def _take_state(self, agent_id: str, state: _pool_wire.RunnerState, now: float) -> None:
--- a/src/daisyfall/process/_suspension.py
+++ b/src/daisyfall/process/_suspension.py
@@ -21,6 +21,7 @@
         self._on_pause = on_pause
         self._seen_at = _clock.monotonic()
         self._resumed_at = 0.0
+        self._pause_s = 0.0
 
     def check(self) -> None:
         """Look at the clock; report a pause before anything else happens."""
@@ -29,9 +30,12 @@
         self._seen_at = now
         if gap_s > PAUSE_LIMIT_S:
             self._resumed_at = now
+            self._pause_s = gap_s
             loguru.logger.bind(pause_s=round(gap_s, 3)).warning("process was paused")
             self._on_pause(gap_s)
 
-    def resumed_within(self, seconds: float) -> bool:
-        """Tell whether a pause ended less than `seconds` ago."""
-        return _clock.monotonic() - self._resumed_at < seconds
+    def pause_within(self, seconds: float) -> float:
+        """Return the length of a pause that ended less than `seconds` ago, 0 without one."""
+        if _clock.monotonic() - self._resumed_at < seconds:
+            return self._pause_s
+        return 0.0
--- a/src/daisyfall/request/_pool_jobs.py
+++ b/src/daisyfall/request/_pool_jobs.py
@@ -86,6 +86,7 @@
     agent_id: str = ""
     avoid: tuple[str, ...] = ()
     request_id: str = ""
+    was_moved: bool = False
 
 
 @attrs.define(slots=True, eq=False)
@@ -164,6 +165,7 @@
             step.accelerators,
             task.expected_ms,
             patience_ms,
+            not task.was_moved,
         )
 
     def put_back(self, task: Task, *, avoids_agent: bool) -> None:
--- a/src/daisyfall/request/_runs.py
+++ b/src/daisyfall/request/_runs.py
@@ -10,7 +10,7 @@
 import attrs
 
 from daisyfall import _pool_wire
-from daisyfall.policy import _bounds
+from daisyfall.policy import _bounds, _pace
 from daisyfall.process import _leased_runner
 
 # A run that is in none of two lists in a row, asked for after its start, has ended unseen.
@@ -46,7 +46,7 @@
     ordered_at: float
     lease_until: float = 0.0
     started_at: float = 0.0
-    percent: float = 0.0
+    pace: _pace.TaskPace | None = None
     moved_at: float = 0.0
     misses: int = 0
     why: str = ""
@@ -85,6 +85,7 @@
 UNHEALTHY = "unhealthy"
 UNANSWERED = "unanswered"
 STALLED = "stalled"
+STRAGGLING = "straggling"
 LOST = "lost"
 CANCELLED = "cancelled"
 
@@ -101,6 +102,7 @@
         )
         self.acknowledged = 0
         self.capacity = (0, 0, 0)
+        self._pace = _pace.RunnerPace()
 
     @property
     def queued(self) -> int:
@@ -149,6 +151,7 @@
         if run.phase in (Phase.STARTING, Phase.UNANSWERED):
             run.phase = Phase.RUNNING
             run.started_at = run.moved_at = now
+            run.pace = _pace.TaskPace(run.order.expected_ms, now)
 
     def unanswered(self, run: Run, lease_until: float) -> None:
         """Note that a start order got no answer; it may be executed until its lease passes."""
@@ -166,6 +169,8 @@
         is_own_end = how in (_leased_runner.End.DONE.value, _leased_runner.End.FAILED.value)
         ended = Ended(run.order, run.entry, how if is_own_end else run.why or how, run_ms)
         self._ends.append((now, ended))
+        if how == _leased_runner.End.DONE.value and run.order.expected_ms > 0:
+            self._pace.ended(run_ms / run.order.expected_ms, now)
         return ended
 
     def stop(self, task: str, entry: str, number: int, why: str) -> Run | None:
@@ -252,6 +257,24 @@
             if each.task not in self.by_task or self.by_task[each.task].number != each.run
         ]
 
+    def slowness(self, now: float) -> float:
+        """Return the runner's median pace, 0 with too few samples."""
+        running = [each.pace for each in self.by_task.values() if each.phase is Phase.RUNNING]
+        return self._pace.median(running, now)
+
+    def mark_stragglers(self, now: float) -> None:
+        """Mark the tasks of a slow runner that are better run elsewhere for stopping."""
+        if self.slowness(now) < _pace.SLOW_RUNNER:
+            return
+        for run in self.by_task.values():
+            if (
+                run.phase is Phase.RUNNING
+                and not run.why
+                and run.order.may_move
+                and run.pace.is_better_moved()
+            ):
+                run.why = STRAGGLING
+
     def must_withhold(self, now: float) -> bool:
         """Tell whether the lease may not be renewed because a stop was not confirmed in time."""
         return any(
@@ -295,9 +318,9 @@
 
     def _read_progress(self, run: Run, listed: _leased_runner.Running, now: float) -> None:
         run.misses = 0
-        if listed.percent != run.percent:
-            run.percent = listed.percent
+        if listed.percent != run.pace.percent:
             run.moved_at = now
+        run.pace.read(listed.percent, now)
         limit_s = max(SHORTEST_STALL_S, STALL_PART * run.order.expected_ms / 1000)
         if run.phase is Phase.RUNNING and not run.why and now - run.moved_at > limit_s:
             run.why = STALLED
--- a/src/daisyfall_standins/leased_runner.py
+++ b/src/daisyfall_standins/leased_runner.py
@@ -165,7 +165,11 @@
                 await asyncio.sleep(LONGEST_WAIT_MS / 1000)
             if request.headers.get("X-Expected-Instance", self.id) != self.id:
                 return web.json_response({}, status=421)
-            body = await request.json()
+            try:
+                body = await request.json()
+            except ConnectionResetError:
+                # The agent gave the call up before the stand-in read it.
+                return self._answer(400)
             if body.get("FencingToken", 0) < self.token:
                 return self._answer(409, Reason="fence")
             self.token = body.get("FencingToken", 0)
--- a/src/daisyfall_standins/platform_world.py
+++ b/src/daisyfall_standins/platform_world.py
@@ -33,6 +33,8 @@
 RESEND_S = 1.3
 READY_LIMIT_S = 15.0
 NODES_TABLE = "daisyfall-nodes"
+# Entries agree on the scheduling one once they have heard each other for this long.
+SETTLED_S = 2.5
 _networks = itertools.count(os.getpid() % 200)
 
 
@@ -71,6 +73,11 @@
         self._tasks: list[asyncio.Task] = []
         self._stack = contextlib.AsyncExitStack()
         self.config_version = 0
+        # Faults of one process follow each other; those of different ones overlap.
+        self.lock_by_node = {
+            name: asyncio.Lock() for name in [*self.entry_names, *self.runner_by_agent]
+        }
+        self.exits: list[str] = []
 
     @property
     def entry_names(self) -> list[str]:
@@ -115,24 +122,13 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
 
-    def configure(self, **changes) -> int:
-        """Write the next configuration; return its version."""
+    def configure(self, prefixes: list[str] | None = None) -> int:
+        """Write the next configuration, with a route for each prefix; return its version."""
         self.config_version += 1
-        route = {
-            "Name": "r",
-            "Host": HOST_NAME,
-            "PathPrefix": PREFIX,
-            "Kind": "unsafe",
-            "TimeoutMs": 1500,
-            "TargetLatencyMs": 400,
-            "Priority": 0,
-            "Service": POOL,
-            "MaxAttempts": 2,
-            "Stretch": 3.0,
-        }
+        all_prefixes = [PREFIX, *(prefixes or [])]
         body = {
             "Version": self.config_version,
-            "Routes": [route, *changes.get("routes", [])],
+            "Routes": [_route(prefix) for prefix in all_prefixes],
             "Services": [{"Name": POOL}],
             "Limits": {"MaxBodyBytes": 262144},
         }
@@ -282,3 +278,18 @@
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
         await web.TCPSite(runner, host, int(port)).start()
+
+
+def _route(prefix: str) -> dict:
+    return {
+        "Name": f"route {prefix}",
+        "Host": HOST_NAME,
+        "PathPrefix": prefix,
+        "Kind": "unsafe",
+        "TimeoutMs": 1500,
+        "TargetLatencyMs": 400,
+        "Priority": 0,
+        "Service": POOL,
+        "MaxAttempts": 2,
+        "Stretch": 3.0,
+    }
