Beat all links of a process together, and only as often as each side needs

Change: links beat at common moments (one wake-up for all), a message that was just sent stands for a heartbeat, agents beat often only to the entry that schedules, and a dialling entry only twice a second. The silence limit of agents towards entries, which keeps runs apart, is unchanged.

--- a/src/daisyfall/connection/_link.py
+++ b/src/daisyfall/connection/_link.py
@@ -9,14 +9,13 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
 import loguru
 import websockets
 
 from daisyfall import _clock, _pool_wire, _wire
 
 OPEN_LIMIT_S = 1.0
-# The writer looks for silence this many times in a silence limit.
-CHECKS_PER_LIMIT = 4
 # A peer that does not read is cut off before its backlog fills the memory.
 MOST_UNSENT = 20_000
 MAX_FRAME_BYTES = _wire.MAX_MESSAGE_BYTES
@@ -26,6 +25,14 @@
     """The link could not be opened; the text is the reason."""
 
 
+@attrs.frozen
+class Rhythm:
+    """How often one side is heard at least, and after which silence the other is lost."""
+
+    interval_s: float
+    silence_s: float
+
+
 class Link:
     """A live connection; `peer` is the other side's Open."""
 
@@ -36,6 +43,7 @@
         self.close_reason = ""
         self._socket = socket
         self._unsent: list[Any] = []
+        self._sent_at = float("-inf")
         self._ready = asyncio.Event()
 
     def send(self, message: Any) -> None:
@@ -57,15 +65,16 @@
             if self._socket.transport is not None:
                 self._socket.transport.abort()
 
+    def expire(self, now: float, silence_s: float) -> None:
+        """Reset the connection if the peer is silent."""
+        if now - self.last_heard > silence_s:
+            self.abort(f"silent for more than {silence_s:.2f} s")
+
     async def serve(
-        self,
-        handle: Callable[[Any], None],
-        beat: Callable[[], Any],
-        interval_s: float,
-        silence_s: float,
+        self, handle: Callable[[Any], None], beat: Callable[[], Any], rhythm: Callable[[], Rhythm]
     ) -> None:
-        """Pass messages to `handle` until the link ends."""
-        writer = asyncio.create_task(self._write(beat, interval_s, silence_s))
+        """Pass messages to `handle` until the link ends; `rhythm` may change meanwhile."""
+        writer = asyncio.create_task(self._write(beat, rhythm))
         try:
             async for frame in self._socket:
                 if self.is_closed:
@@ -84,25 +93,32 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await writer
 
-    async def _write(self, beat: Callable[[], Any], interval_s: float, silence_s: float) -> None:
+    async def _write(self, beat: Callable[[], Any], rhythm: Callable[[], Rhythm]) -> None:
+        """Send what is queued, and a heartbeat at multiples of the interval.
+
+        All links of a process beat at the same moments, which costs one wake-up for all. A
+        message that was sent shortly before stands for the heartbeat.
+        """
+        loop = asyncio.get_running_loop()
         beat_at = 0.0
         while not self.is_closed:
             now = _clock.monotonic()
-            if now - self.last_heard > silence_s:
-                self.abort(f"silent for more than {silence_s:.2f} s")
-                return
             if now >= beat_at:
-                self._unsent.append(beat())
-                beat_at = now + interval_s
+                current = rhythm()
+                self.expire(now, current.silence_s)
+                if now - self._sent_at > current.interval_s / 2:
+                    self._unsent.append(beat())
+                beat_at = (now // current.interval_s + 1) * current.interval_s
+                loop.call_later(beat_at - now, self._ready.set)
+            self._ready.clear()
             if self._unsent and not await self._flush():
                 return
-            self._ready.clear()
-            pause_s = min(beat_at - _clock.monotonic(), silence_s / CHECKS_PER_LIMIT)
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._ready.wait(), max(pause_s, 0.001))
+            if not self._unsent:
+                await self._ready.wait()
 
     async def _flush(self) -> bool:
         messages, self._unsent = self._unsent, []
+        self._sent_at = _clock.monotonic()
         try:
             await self._socket.send(_wire.encode_batch(messages))
         except websockets.ConnectionClosed as error:
--- a/src/daisyfall/process/_leadership.py
+++ b/src/daisyfall/process/_leadership.py
@@ -27,6 +27,7 @@
         self._started_ms = started_ms
         self._peer_by_id: dict[str, _Peer] = {}
         self._asked_at = float("-inf")
+        self._schedules_since = float("inf")
 
     def heard(self, peer_id: str, link: _link.Link, beat: _pool_wire.PeerBeat) -> None:
         """Take a heartbeat."""
@@ -42,7 +43,13 @@
 
     def schedules(self, now: float) -> bool:
         """Tell whether this entry needs to know the room of the runners."""
-        return self.leader_id == self._own_id or now - self._asked_at < SERVES_AFTER_S
+        is_needed = self.leader_id == self._own_id or now - self._asked_at < SERVES_AFTER_S
+        self._schedules_since = min(self._schedules_since, now) if is_needed else float("inf")
+        return is_needed
+
+    def has_scheduled_for(self, seconds: float, now: float) -> bool:
+        """Tell whether this entry has scheduled for some time, so that agents know of it."""
+        return self.schedules(now) and now - self._schedules_since > seconds
 
     def waiting_elsewhere(self, route: str) -> int:
         """Return the waiting jobs of a route at the other entries."""
--- a/src/daisyfall/process/_pool_agent.py
+++ b/src/daisyfall/process/_pool_agent.py
@@ -14,11 +14,13 @@
 from daisyfall.request import _runs
 
 TICK_S = 0.05
-# Several beats fit into the silence limit.
+# Beats to the scheduling entry, of which several fit into its silence limit; the others only
+# have to learn that the agent is gone.
 BEATS_PER_SILENCE = 3
+RELAXED_BEAT_S = 0.5
 # Longest wait of a renewal for an end; the lease covers several.
 HOLD_WAIT_MS = 100
-IDLE_HOLD_WAIT_MS = 250
+IDLE_HOLD_WAIT_MS = 300
 HOLD_RETRY_S = 0.01
 # A call counts as unanswered after this many times its usual time, within these bounds.
 USUAL_TIMES = 8.0
@@ -153,17 +155,20 @@
             socket.transport.abort()
             return
         session = self._resume(link)
-        silence_s = self.settings.bounds.silence_s
         try:
             await link.serve(
                 lambda message: self._handle(session, message),
                 _pool_wire.Beat,
-                silence_s / BEATS_PER_SILENCE,
-                silence_s,
+                lambda: self._rhythm(session),
             )
         finally:
             loguru.logger.bind(entry=session.entry, reason=link.close_reason).info("entry lost")
 
+    def _rhythm(self, session: Session) -> _link.Rhythm:
+        silence_s = self.settings.bounds.silence_s
+        interval_s = silence_s / BEATS_PER_SILENCE if session.schedules else RELAXED_BEAT_S
+        return _link.Rhythm(interval_s, silence_s)
+
     def _open(self) -> _pool_wire.Open:
         own = self.settings
         return _pool_wire.Open(
@@ -196,9 +201,8 @@
 
     def _expire_sessions(self, now: float) -> None:
         for session in list(self._sessions.values()):
-            silent_s = now - session.link.last_heard
-            if silent_s > self.settings.bounds.silence_s:
-                session.link.abort(f"silent for {silent_s:.2f} s")
+            session.link.expire(now, self.settings.bounds.silence_s)
+            if now - session.link.last_heard > self.settings.bounds.silence_s:
                 self._drop_session(session)
 
     def _drop_session(self, session: Session) -> None:
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -14,12 +14,18 @@
 from daisyfall.request import _estimates, _pool_jobs
 from daisyfall.version import _routes
 
-TICK_S = 0.02
+TICK_S = 0.04
 # Heartbeats between entries; a silent scheduler is replaced after the limit.
 PEER_BEAT_S = 0.1
 PEER_SILENCE_S = 0.35
-# Several beats fit into the silence limit of agents.
-BEATS_PER_SILENCE = 3
+# A dialling entry is only watched so that what it left behind is dropped.
+DIALLER_BEAT_S = 0.5
+DIALLER_SILENCE_S = 1.5
+# An agent stops the tasks of an entry that is silent, so several beats fit into its limit.
+BEATS_PER_SILENCE = 2
+# The scheduling entry must not place tasks at an agent that is gone; for the others, agents
+# beat less often.
+AGENT_SILENCE_S = 1.5
 # An agent keeps an order this long if its room is not free yet.
 PATIENCE_MS = 100
 # Hopeless jobs of an agent that can't be reached are given up after this time.
@@ -74,16 +80,7 @@
         self._incoming: dict[str, _link.Link] = {}
         self._is_draining = False
         self._guard = _suspension.Guard(self._reset_links)
-        silence_s = settings.bounds.silence_s
-        beat_to_agents = _pool_peers.Rhythm(
-            self._agent_beat, silence_s / BEATS_PER_SILENCE, silence_s
-        )
-        beat_to_entries = _pool_peers.Rhythm(self._peer_beat, PEER_BEAT_S, PEER_SILENCE_S)
-        self.peers = _pool_peers.Peers(
-            settings.id,
-            self,
-            {_pool_wire.ROLE_AGENT: beat_to_agents, _pool_wire.ROLE_ENTRY: beat_to_entries},
-        )
+        self.peers = _pool_peers.Peers(settings.id, self)
 
     # Life of the process.
 
@@ -140,6 +137,9 @@
             self._tick(_clock.monotonic())
 
     def _tick(self, now: float) -> None:
+        self.peers.expire(now)
+        for link in list(self._incoming.values()):
+            link.expire(now, DIALLER_SILENCE_S)
         self._follow_leader(now)
         self._apply(self._scheduler.advance(now))
         self._expire_lost_agents(now)
@@ -610,8 +610,7 @@
             await link.serve(
                 lambda message: self._handle_peer(peer_id, link, message),
                 self._peer_beat,
-                PEER_BEAT_S,
-                PEER_SILENCE_S,
+                lambda: _link.Rhythm(PEER_BEAT_S, DIALLER_SILENCE_S),
             )
         finally:
             if self._incoming.get(peer_id) is link:
@@ -665,6 +664,19 @@
 
     # Heartbeats.
 
+    def beat(self, node: _pool_peers.Node) -> _pool_wire.Beat | _pool_wire.PeerBeat:
+        """Return the heartbeat for a node."""
+        return self._agent_beat() if node.role == _pool_wire.ROLE_AGENT else self._peer_beat()
+
+    def rhythm(self, node: _pool_peers.Node) -> _link.Rhythm:
+        """Return how often to beat towards a node, and when it counts as silent."""
+        if node.role == _pool_wire.ROLE_ENTRY:
+            return _link.Rhythm(DIALLER_BEAT_S, PEER_SILENCE_S)
+        limit_s = self.settings.bounds.silence_s
+        is_close = self._leadership.has_scheduled_for(limit_s, _clock.monotonic())
+        silence_s = limit_s if is_close else AGENT_SILENCE_S
+        return _link.Rhythm(limit_s / BEATS_PER_SILENCE, silence_s)
+
     def _agent_beat(self) -> _pool_wire.Beat:
         return _pool_wire.Beat(self._leadership.schedules(_clock.monotonic()))
 
--- a/src/daisyfall/process/_pool_peers.py
+++ b/src/daisyfall/process/_pool_peers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -39,23 +38,19 @@
     def closed(self, node: Node, link: _link.Link) -> None:
         """Note that a link has ended."""
 
+    def beat(self, node: Node):
+        """Return the heartbeat for a node."""
 
-@attrs.frozen
-class Rhythm:
-    """Heartbeat of one kind of link, in seconds."""
-
-    beat: Callable
-    interval_s: float
-    silence_s: float
+    def rhythm(self, node: Node) -> _link.Rhythm:
+        """Return how often to beat towards a node, and when it counts as silent."""
 
 
 class Peers:
     """Dials all nodes but its own, and redials them as long as they are registered."""
 
-    def __init__(self, own_id: str, handler: Handler, rhythm_by_role: dict[str, Rhythm]):
+    def __init__(self, own_id: str, handler: Handler):
         self._own_id = own_id
         self._handler = handler
-        self._rhythm_by_role = rhythm_by_role
         self.node_by_id: dict[str, Node] = {}
         self.link_by_id: dict[str, _link.Link] = {}
         self._task_by_id: dict[str, asyncio.Task] = {}
@@ -75,6 +70,11 @@
                 self.node_by_id[node.id] = node
                 self._task_by_id[node.id] = asyncio.create_task(self._dial_forever(node))
 
+    def expire(self, now: float) -> None:
+        """Reset links that are silent; their own tasks may be stuck in a send."""
+        for node_id, link in list(self.link_by_id.items()):
+            link.expire(now, self._handler.rhythm(self.node_by_id[node_id]).silence_s)
+
     def abort_all(self, reason: str) -> None:
         """Reset all links; they are dialled anew."""
         for link in list(self.link_by_id.values()):
@@ -86,8 +86,9 @@
             self._leave(node_id)
 
     def _leave(self, node_id: str) -> None:
-        del self.node_by_id[node_id]
         self._task_by_id.pop(node_id).cancel()
+        del self.node_by_id[node_id]
+        self.link_by_id.pop(node_id, None)
 
     async def _dial_forever(self, node: Node) -> None:
         backoff_s = FIRST_BACKOFF_S
@@ -110,7 +111,6 @@
             await asyncio.sleep(backoff_s)
 
     async def _serve(self, node: Node, link: _link.Link) -> None:
-        rhythm = self._rhythm_by_role[node.role]
         self.link_by_id[node.id] = link
         opened_at = _clock.monotonic()
         loguru.logger.bind(node=node.id, role=node.role).info("link opened")
@@ -118,9 +118,8 @@
             self._handler.opened(node, link)
             await link.serve(
                 lambda message: self._handler.received(node, link, message),
-                rhythm.beat,
-                rhythm.interval_s,
-                rhythm.silence_s,
+                lambda: self._handler.beat(node),
+                lambda: self._handler.rhythm(node),
             )
         finally:
             link.abort("the dialling task ended")
--- a/src/daisyfall_standins/disturbances.py
+++ b/src/daisyfall_standins/disturbances.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+import signal
 
 from daisyfall_standins import platform_world
 
@@ -82,6 +83,16 @@
     runner.fault = ""
 
 
+async def _is_serving(world, name: str) -> bool:
+    host, _, port = world.proxy_by_node[name].target.partition(":")
+    try:
+        _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 async def _inject_node(world, name: str, change: str, pause_s: float) -> None:
     process = world.fleet.process_by_name[name]
     proxy = world.proxy_by_node[name]
@@ -92,8 +103,10 @@
                 await asyncio.sleep(RESTART_S)
                 world.fleet.restart(process)
             case "is terminated":
+                has_started = await _is_serving(world, name)
                 status = await asyncio.to_thread(process.terminate, STOP_LIMIT_S)
-                if status != 0:
+                # A process that is told to stop before it listens ends by the signal itself.
+                if status != 0 and (has_started or status != -signal.SIGTERM):
                     world.exits.append(f"{name} ended with {status} after SIGTERM")
                 world.fleet.restart(process)
             case "is paused":
--- a/src/daisyfall_standins/platform_world.py
+++ b/src/daisyfall_standins/platform_world.py
@@ -7,7 +7,6 @@
 import asyncio
 import base64
 import contextlib
-import itertools
 import json
 import os
 import pathlib
@@ -35,7 +34,11 @@
 NODES_TABLE = "daisyfall-nodes"
 # Entries agree on the scheduling one once they have heard each other for this long.
 SETTLED_S = 2.5
-_networks = itertools.count(os.getpid() % 200)
+# Addresses of hosts in a world's network; worlds of different processes have networks apart.
+ENTRY_HOST = 1
+AGENT_HOST = 100
+STORE_HOST = 250
+OCTETS = 250
 
 
 @attrs.define
@@ -60,10 +63,11 @@
         self.tally = Tally()
         self.tasks_by_job: dict[str, int] = {}
         self.store = rows.Rows()
-        network = next(_networks) % 250 + 1
-        self._entry_ips = [f"127.{network}.1.{n + 1}" for n in range(entries)]
-        self._agent_ips = [f"127.{network}.2.{n + 1}" for n in range(agents)]
-        self.store_address = f"127.{network}.3.1:{STORE_PORT}"
+        pid = os.getpid()
+        network = f"127.{pid % OCTETS + 1}.{pid // OCTETS % OCTETS + 1}"
+        self._entry_ips = [f"{network}.{ENTRY_HOST + n}" for n in range(entries)]
+        self._agent_ips = [f"{network}.{AGENT_HOST + n}" for n in range(agents)]
+        self.store_address = f"{network}.{STORE_HOST}:{STORE_PORT}"
         self.runner_by_agent = {
             f"agent-{n}": leased_runner.LeasedRunner(POOL, 8000, 16_000, self.ledger)
             for n in range(agents)
--- a/src/daisyfall_standins/soak.py
+++ b/src/daisyfall_standins/soak.py
@@ -48,9 +48,11 @@
         self._ends_at = time.monotonic() + self._seconds
         probing = asyncio.create_task(self._probe())
         lanes = [self._disturb() for _ in range(MOST_FAULTS_AT_ONCE)]
-        await asyncio.gather(self._load(), self._configure(), *lanes)
+        loading = asyncio.create_task(self._load())
+        await asyncio.gather(self._configure(), *lanes)
         self._faults_end_at = time.monotonic()
         await asyncio.sleep(QUIET_S)
+        loading.cancel()
         for _ in range(CALM_JOBS):
             self._call(50)
             await asyncio.sleep(0.05)
@@ -76,7 +78,7 @@
         }
 
     async def _load(self) -> None:
-        while time.monotonic() < self._ends_at:
+        while True:
             self._call(self._source.choice((40, 80, 150, 300, 900)))
             await asyncio.sleep(self._source.expovariate(JOBS_PER_S))
 
--- a/src/daisyfall_standins/wire_proxy.py
+++ b/src/daisyfall_standins/wire_proxy.py
@@ -27,7 +27,7 @@
     def __init__(self, listen: str, target: str):
         self.listen = listen
         self.fault = Fault()
-        self._target = target
+        self.target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -47,7 +47,7 @@
             writer.transport.abort()
 
     async def _accept(self, reader, writer) -> None:
-        host, _, port = self._target.partition(":")
+        host, _, port = self.target.partition(":")
         self._writers.add(writer)
         try:
             async with asyncio.timeout(CONNECT_LIMIT_S):
