--- a/features/pool_policy.feature
+++ b/features/pool_policy.feature
@@ -67,6 +67,18 @@
     When a task of job a that avoids r2 arrives
     Then its tasks go to r1
 
+  # An entry that can't reach an agent would have its tasks placed there again and again.
+  Scenario: a retried task waits rather than go back to the runner that let it down
+    Given a scheduler with runners r1:1000 r2:8000
+    And job z of 1 tasks of 1000 arrives
+    When a task of job a that avoids r2 arrives
+    Then job a is not placed
+
+  Scenario: a retried task goes back if there is no other runner
+    Given a scheduler with runners r2:8000
+    When a task of job a that avoids r2 arrives
+    Then its tasks go to r2
+
   Scenario: no more tasks of a step on one runner than its job allows
     Given a scheduler with runners r1:4000 r2:8000
     When job a of 3 tasks of 1000 with at most 1 per runner arrives
--- a/features/steps/pool_policy_steps.py
+++ b/features/steps/pool_policy_steps.py
@@ -226,6 +226,11 @@
     assert placed_tasks(context, job)
 
 
+@then("job {job} is not placed")
+def check_not_placed(context, job):
+    assert not placed_tasks(context, job)
+
+
 @then("job {job} is refused as {reason}")
 def check_refused(context, job, reason):
     assert refusals(context, job) == [reason], refusals(context, job)
--- a/src/daisyfall/platform/node.py
+++ b/src/daisyfall/platform/node.py
@@ -27,6 +27,7 @@
     _pool_entry,
     _pool_metrics,
     _pool_peers,
+    _pool_settings,
 )
 
 SETTINGS_VARIABLE = "DAISYFALL_NODE_FILE"
@@ -71,15 +72,8 @@
 async def _run_entry(settings, bounds, metrics, path: str) -> None:
     source = random.Random()
     entry = _pool_entry.PoolEntry(
-        _pool_entry.EntrySettings(
-            id=settings.node_id,
-            incarnation=_ids.new_incarnation(),
-            data_centre=settings.data_centre,
-            address=settings.host_address,
-            port=settings.internal_port,
-            cores=settings.cores,
-            started_ms=_clock.wall_ms(),
-            bounds=bounds,
+        _pool_settings.EntrySettings(
+            **_common(settings, bounds),
             stop_limit_s=settings.grace_s - _node_settings.STOP_MARGIN_S,
             settle_s=min(BALANCER_SETTLE_S, settings.grace_s / 2),
         ),
@@ -114,17 +108,10 @@
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(_http.open_session())
         agent = _pool_agent.PoolAgent(
-            _pool_agent.AgentSettings(
-                id=settings.node_id,
-                incarnation=_ids.new_incarnation(),
-                data_centre=settings.data_centre,
-                address=settings.host_address,
-                port=settings.internal_port,
-                cores=settings.cores,
-                started_ms=_clock.wall_ms(),
-                bounds=bounds,
-                heartbeat_s=settings.heartbeat_s,
+            _pool_settings.AgentSettings(
+                **_common(settings, bounds),
                 stop_limit_s=settings.grace_s - 2 * _node_settings.STOP_MARGIN_S,
+                heartbeat_s=settings.heartbeat_s,
             ),
             lambda report: _runner.HttpRunner(session, report),
             metrics,
@@ -137,6 +124,20 @@
         await agent.run(_watch_signals(path, settings))
 
 
+def _common(settings: _node_settings.NodeSettings, bounds: _bounds.Bounds) -> dict:
+    """Return the settings that entries and agents have in common."""
+    return {
+        "id": settings.node_id,
+        "incarnation": _ids.new_incarnation(),
+        "data_centre": settings.data_centre,
+        "address": settings.host_address,
+        "port": settings.internal_port,
+        "cores": settings.cores,
+        "started_ms": _clock.wall_ms(),
+        "bounds": bounds,
+    }
+
+
 class _Nodes:
     """The table of nodes, passed on as a whole after each change."""
 
--- a/src/daisyfall/policy/_room.py
+++ b/src/daisyfall/policy/_room.py
@@ -132,8 +132,10 @@
         and each.evidence.may_take(now)
         and not _is_crowded(each, demand)
     ]
-    preferred = [each for each in usable if each.id not in demand.avoid]
-    return min(preferred or usable, key=lambda each: _cost(each, demand), default=None)
+    # A task waits for another runner rather than go back to one that let it down.
+    if any(each.id not in demand.avoid and each.could_hold(demand) for each in opened):
+        usable = [each for each in usable if each.id not in demand.avoid]
+    return min(usable, key=lambda each: _cost(each, demand), default=None)
 
 
 def _is_crowded(runner: RunnerRoom, demand: Demand) -> bool:
