Let an entry that has just started join the others' scheduling at once

The log shows that each entry scheduled for itself until 39.96 s, two seconds after its start: an entry ranked itself as settled and its peers as new.

Change: an entry that has run for less than the settling time keeps no scheduling entry; it takes the first in rank of those it hears.

After: behave pool_policy 32 passed, two of them new and failing before by construction (the own entry counted as heard for ever).

--- a/features/pool_policy.feature
+++ b/features/pool_policy.feature
@@ -29,6 +29,18 @@
       | a:1.0:10:0.1:yes b:1.0:20:0.1:yes                | none    | a      |
       | a:1.0:10:60:no b:1.0:20:60:no                    | a       | none   |
 
+  # After a loss of power each entry scheduled for itself for 2 s, and agents refused 164 orders.
+  Scenario: entries that start together agree as soon as they hear each other
+    Given an entry b that starts beside an entry a of the same strength that started before it
+    Then entry b lets a schedule within 0.2 s of its start
+    And entry b lets a schedule still after 5 s
+
+  Scenario: a running entry keeps scheduling while a stronger one is new to it
+    Given an entry b that has run for 60 s
+    When entry a that ranks before it is heard for the first time
+    Then entry b schedules itself for 1.9 s more
+    And entry b lets a schedule after 2.1 s more
+
   # A runner that fails everything would drain the queue into failures.
   Scenario: failures of three jobs in a row take a runner out, one real task brings it back
     Given a scheduler with runners r1:4000 r2:4000
--- a/features/steps/pool_policy_steps.py
+++ b/features/steps/pool_policy_steps.py
@@ -5,7 +5,9 @@
 
 from behave import given, step, then, when
 
+from daisyfall import _pool_wire
 from daisyfall.policy import _bounds, _election, _room, _scheduler, _waiting
+from daisyfall.process import _leadership
 
 POOL = "pool"
 TASK_MS = 100.0
@@ -49,6 +51,67 @@
     assert found == ("" if choice == "none" else choice), found
 
 
+class FakeLink:
+    """A link of an entry that has been open since `opened_at`."""
+
+    def __init__(self, name, opened_at):
+        self.opened_at = opened_at
+        self.peer = _pool_wire.Open("entry", name, "1", 1, "dc", 1.0, 10)
+
+
+def hear(context, name):
+    link = FakeLink(name, context.now)
+    context.links = {name: link}
+    context.leadership.heard(name, link, _pool_wire.PeerBeat(True, 1, {}))
+
+
+def choose(context, after_s):
+    context.now += after_s
+    context.leadership.choose(context.now, context.links, is_available=True)
+    return context.leadership.leader_id
+
+
+def start_entry(context):
+    context.now = 100.0
+    context.links = {}
+    context.leadership = _leadership.Leadership("b", 1.0, 20, context.now)
+
+
+@given("an entry b that starts beside an entry a of the same strength that started before it")
+def start_beside(context):
+    start_entry(context)
+    context.now += 0.1
+    hear(context, "a")
+
+
+@given("an entry b that has run for {seconds:g} s")
+def run_alone(context, seconds):
+    start_entry(context)
+    assert choose(context, seconds) == "b"
+
+
+@when("entry a that ranks before it is heard for the first time")
+def hear_a(context):
+    hear(context, "a")
+
+
+@then("entry b lets a schedule within 0.2 s of its start")
+def check_joined(context):
+    assert choose(context, 0.05) == "a"
+
+
+@then("entry b lets a schedule still after {seconds:g} s")
+@then("entry b lets a schedule after {seconds:g} s more")
+def check_follows(context, seconds):
+    assert choose(context, seconds - getattr(context, "waited", 0.0)) == "a"
+
+
+@then("entry b schedules itself for {seconds:g} s more")
+def check_keeps(context, seconds):
+    context.waited = seconds
+    assert choose(context, seconds) == "b"
+
+
 def add_runner(context, name, cpu):
     room = _room.RunnerRoom(name, POOL, cpu, 64_000, 0, ("a", "r1"), True)
     context.scheduler.set_runner(room)
--- a/src/daisyfall/process/_leadership.py
+++ b/src/daisyfall/process/_leadership.py
@@ -20,8 +20,9 @@
 class Leadership:
     """The heartbeats of the other entries and the choice made from them."""
 
-    def __init__(self, own_id: str, cores: float, started_ms: int):
+    def __init__(self, own_id: str, cores: float, started_ms: int, now: float):
         self.leader_id = own_id
+        self._started_at = now
         self._own_id = own_id
         self._cores = cores
         self._started_ms = started_ms
@@ -59,7 +60,11 @@
         """Choose the scheduling entry; tell whether it is another one than before."""
         candidates = [
             _election.Candidate(
-                self._own_id, self._cores, self._started_ms, float("inf"), is_available
+                self._own_id,
+                self._cores,
+                self._started_ms,
+                now - self._started_at,
+                is_available,
             )
         ]
         for peer_id, peer in self._peer_by_id.items():
@@ -72,5 +77,8 @@
                     )
                 )
         before = self.leader_id
-        self.leader_id = _election.choose(candidates, before) or self._own_id
+        # An entry that has just started has no scheduling one to keep; it joins the others'.
+        is_settled = now - self._started_at >= _election.SETTLED_S
+        chosen = _election.choose(candidates, before if is_settled else "")
+        self.leader_id = chosen or self._own_id
         return self.leader_id != before
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -62,7 +62,9 @@
             describe=self._describe,
         )
         self._scheduling = _scheduling.Scheduling(source, self._deliver)
-        self._leadership = _leadership.Leadership(settings.id, settings.cores, settings.started_ms)
+        self._leadership = _leadership.Leadership(
+            settings.id, settings.cores, settings.started_ms, _clock.monotonic()
+        )
         self._incoming: dict[str, _link.Link] = {}
         self._is_draining = False
         self._guard = _suspension.Guard(self._reset_links)
@@ -153,8 +155,6 @@
             if self.peers.node_by_id[node_id].role == _pool_wire.ROLE_ENTRY:
                 link.send(_pool_wire.ShareConfiguration(configuration.version, document))
 
-    # Callers.
-
     def refusal(self) -> str:
         """Return why no job is taken now, `""` if jobs are taken."""
         self._guard.check()
