Join the entry that already schedules when its link comes back

Cause: an entry whose links were reset, by a pause or a fault, took itself for the scheduling one until it had heard its peers for 2 s, beside the one that all others used.

Change: heartbeats between entries say whether the sender schedules; such a candidate needs no time to settle.

--- a/features/pool_policy.feature
+++ b/features/pool_policy.feature
@@ -41,6 +41,12 @@
     Then entry b schedules itself for 1.9 s more
     And entry b lets a schedule after 2.1 s more
 
+  # An entry whose links were reset scheduled for itself for 2 s beside the one that all others use.
+  Scenario: an entry whose links come back joins the one that schedules at once
+    Given an entry b that has run for 60 s
+    When entry a that ranks before it and schedules is heard for the first time
+    Then entry b lets a schedule within 0.2 s of its start
+
   # A runner that fails everything would drain the queue into failures.
   Scenario: failures of three jobs in a row take a runner out, one real task brings it back
     Given a scheduler with runners r1:4000 r2:4000
--- a/features/steps/pool_policy_steps.py
+++ b/features/steps/pool_policy_steps.py
@@ -59,10 +59,10 @@
         self.peer = _pool_wire.Open("entry", name, "1", 1, "dc", 1.0, 10)
 
 
-def hear(context, name):
+def hear(context, name, *, schedules=False):
     link = FakeLink(name, context.now)
     context.links = {name: link}
-    context.leadership.heard(name, link, _pool_wire.PeerBeat(True, 1, {}))
+    context.leadership.heard(name, link, _pool_wire.PeerBeat(True, 1, {}, schedules))
 
 
 def choose(context, after_s):
@@ -95,6 +95,11 @@
     hear(context, "a")
 
 
+@when("entry a that ranks before it and schedules is heard for the first time")
+def hear_scheduling(context):
+    hear(context, "a", schedules=True)
+
+
 @then("entry b lets a schedule within 0.2 s of its start")
 def check_joined(context):
     assert choose(context, 0.05) == "a"
--- a/src/daisyfall/_pool_wire.py
+++ b/src/daisyfall/_pool_wire.py
@@ -156,11 +156,15 @@
 
 @_wire.message(64)
 class PeerBeat:
-    """Heartbeat between entries; `waiting_by_route` counts jobs of which no task has started."""
+    """Heartbeat between entries; `waiting_by_route` counts jobs of which no task has started.
+
+    `schedules` tells that the sender takes itself for the scheduling entry.
+    """
 
     is_available: bool
     configuration_version: int
     waiting_by_route: dict
+    schedules: bool = False
 
 
 @_wire.message(65)
--- a/src/daisyfall/policy/_election.py
+++ b/src/daisyfall/policy/_election.py
@@ -14,27 +14,33 @@
 
 @attrs.frozen
 class Candidate:
-    """An entry as another one sees it; `cores` is the processor time that it may use."""
+    """An entry as another one sees it; `cores` is the processor time that it may use.
+
+    `schedules` tells that it takes itself for the scheduling entry.
+    """
 
     id: str
     cores: float
     started_ms: int
     heard_for_s: float
     is_available: bool
+    schedules: bool = False
 
 
 def choose(candidates: list[Candidate], current_id: str) -> str:
     """Return the id of the entry that schedules, `""` if none is available.
 
     The strongest entry wins, then the one that runs longest. The current one is kept while it
-    is available, unless a settled candidate ranks before it.
+    is available, unless a candidate ranks before it that is settled or already schedules.
     """
     available = [each for each in candidates if each.is_available]
     if not available:
         return ""
     by_id = {each.id: each for each in available}
     eligible = [
-        each for each in available if each.id == current_id or each.heard_for_s >= SETTLED_S
+        each
+        for each in available
+        if each.id == current_id or each.schedules or each.heard_for_s >= SETTLED_S
     ]
     if current_id not in by_id:
         eligible = eligible or available
--- a/src/daisyfall/process/_leadership.py
+++ b/src/daisyfall/process/_leadership.py
@@ -15,6 +15,7 @@
     link: _link.Link
     is_available: bool
     waiting_by_route: dict[str, int]
+    schedules: bool
 
 
 class Leadership:
@@ -32,7 +33,9 @@
 
     def heard(self, peer_id: str, link: _link.Link, beat: _pool_wire.PeerBeat) -> None:
         """Take a heartbeat."""
-        self._peer_by_id[peer_id] = _Peer(link, beat.is_available, beat.waiting_by_route)
+        self._peer_by_id[peer_id] = _Peer(
+            link, beat.is_available, beat.waiting_by_route, beat.schedules
+        )
 
     def lost(self, peer_id: str) -> None:
         """Forget an entry whose link has ended."""
@@ -73,7 +76,12 @@
                 heard_for_s = now - peer.link.opened_at
                 candidates.append(
                     _election.Candidate(
-                        peer_id, opened.cores, opened.started_ms, heard_for_s, peer.is_available
+                        peer_id,
+                        opened.cores,
+                        opened.started_ms,
+                        heard_for_s,
+                        peer.is_available,
+                        peer.schedules,
                     )
                 )
         before = self.leader_id
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -198,8 +198,6 @@
         version = self.configuration.version if self.configuration else 0
         return {"leader": self._leadership.leader_id, "configuration": version}
 
-    # Placement.
-
     def _place(self, item: _waiting.Item) -> None:
         """Have an item placed by the scheduling entry, which may be this one."""
         now = _clock.monotonic()
@@ -390,6 +388,7 @@
             not self._is_draining and self._scheduling.has_open_runner(),
             self.configuration.version if self.configuration else 0,
             self._work.waiting_by_route(),
+            self._leadership.leader_id == self.settings.id,
         )
 
     def _entry_links(self) -> dict[str, _link.Link]:
