--- a/src/daisyfall/platform/_runner.py
+++ b/src/daisyfall/platform/_runner.py
@@ -123,7 +123,7 @@
             memory_mb=_whole(capacity["MemMb"]),
             accelerators=_whole(capacity.get("Gpu", 0)),
             # The runner's kind and its rack.
-            labels=tuple(_text(each) for each in body.get("Labels", [])),
+            labels=tuple(_text(each) for each in _list(body.get("Labels", []))),
             is_draining=state == "draining",
             remaining_ms=_whole(body.get("RemainingMs", 0)),
             sequence=_whole(body["Sequence"]),
@@ -191,6 +191,12 @@
     return value
 
 
+def _list(value: object) -> list:
+    if not isinstance(value, list):
+        raise ValueError(f"expected a list, found {value!r}")
+    return value
+
+
 def _text(value: object) -> str:
     if not isinstance(value, str):
         raise ValueError(f"expected a text, found {value!r}")
