Wait for the lease of what an agent's former life started

Cause: found while reading the diff. An agent that was killed and is back within half a second reports no tasks, and the entry placed them again at once, while the runner may run them until their lease passes (0.56 s after the last renewal).

Change: a task remembers the incarnation of the agent that got its order. What another incarnation does not have is treated as at an agent that can't be reached, until gone_s has passed; what the same incarnation does not have is placed again at once as before.

--- /dev/null
+++ b/features/steps/pool_work_steps.py
@@ -0,0 +1,92 @@
+"""Steps on the jobs of an entry; agents are links that only record what is sent."""
+
+import event_loop
+from behave import given, step, then, when
+
+from daisyfall import _clock, _pool_wire
+from daisyfall.policy import _bounds
+from daisyfall.process import _pool_metrics
+from daisyfall.request import _pool_jobs, _pool_work
+from daisyfall.version import _routes
+
+ROUTE = _routes.Route("r", "h", "/", "p", 0, 2, 3.0, 400.0, 0.0)
+STEP = _pool_jobs.Step(1, 1000, 10, 0, 100.0)
+WAIT_S = 20.0
+
+
+class FakeLink:
+    """A link to one life of an agent."""
+
+    def __init__(self, incarnation):
+        self.peer = _pool_wire.Open("agent", "a", incarnation, 1, "dc", 1.0, 0)
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+def begin(context, job_id):
+    submission = _pool_jobs.Submission(job_id, ROUTE, "{}", (STEP,), WAIT_S)
+
+    async def submit():
+        context.work.begin(submission)
+
+    event_loop.run(context, submit())
+    item = context.placed.pop()
+    task = item.demands[0].task
+    context.work.take_decision(_pool_wire.Placed(item.id, job_id, {task: "a"}))
+    return task
+
+
+@given("an entry whose job has a task at agent a")
+def make_work(context):
+    bounds = _bounds.derive(1.0, 0.05, 1.3)
+    context.work = _pool_work.PoolWork("e", bounds, _pool_metrics.PoolMetrics())
+    context.placed = []
+    context.link = FakeLink("life-1")
+    context.work.attach(
+        place=context.placed.append,
+        withdraw=lambda _job: None,
+        link_to=lambda _agent: context.link,
+        describe=dict,
+    )
+    context.now = _clock.monotonic()
+    context.task = begin(context, "job1")
+    assert context.link.sent
+
+
+@when("another job has a task at agent a")
+def order_another(context):
+    begin(context, "job2")
+
+
+@when("the link to agent a breaks")
+def break_link(context):
+    context.link = None
+    context.work.agent_lost("a", context.now)
+
+
+@when("agent a is back after {seconds:g} s as {life} incarnation {presence} the task")
+def come_back(context, seconds, life, presence):
+    context.now += seconds
+    context.link = FakeLink("life-1" if life == "the same" else "life-2")
+    context.work.watch("a")
+    here = [context.task] if presence == "with" else []
+    context.work.settle("a", context.link, _pool_wire.Resumed(here))
+
+
+def placed_after(context, seconds):
+    context.now += seconds
+    context.work.expire(context.now)
+    return [each.demands[0].task for each in context.placed]
+
+
+@then("nothing is placed again after {seconds:g} s more")
+def check_nothing(context, seconds):
+    assert not placed_after(context, seconds), context.placed
+
+
+@step("the task is placed again after {seconds:g} s more")
+@step("only the first job's task is placed again after {seconds:g} s more")
+def check_again(context, seconds):
+    assert placed_after(context, seconds) == [context.task], context.placed
--- a/src/daisyfall/request/_pool_jobs.py
+++ b/src/daisyfall/request/_pool_jobs.py
@@ -75,7 +75,10 @@
 
 @attrs.define(slots=True, eq=False)
 class Task:
-    """One task; `failures` counts runs that ended failed, `run` numbers its orders."""
+    """One task; `failures` counts runs that ended failed, `run` numbers its orders.
+
+    `agent_life` is the incarnation of the agent that got the last order.
+    """
 
     name: str
     step: int
@@ -84,6 +87,7 @@
     failures: int = 0
     run: int = 0
     agent_id: str = ""
+    agent_life: str = ""
     avoid: tuple[str, ...] = ()
     request_id: str = ""
     was_moved: bool = False
--- a/src/daisyfall/request/_pool_work.py
+++ b/src/daisyfall/request/_pool_work.py
@@ -63,7 +63,7 @@
         job_id = submission.job_id
         future = self._answer_by_id.get(job_id)
         if future is None:
-            future = self._begin(submission)
+            future = self.begin(submission)
         self._waiters_by_id[job_id] = self._waiters_by_id.get(job_id, 0) + 1
         try:
             return await asyncio.shield(future)
@@ -117,13 +117,23 @@
                 self._place_again(job, task, message.how)
 
     def settle(self, agent_id: str, link: _link.Link, message: _pool_wire.Resumed) -> None:
-        """Compare the tasks that an agent has with those that it should have."""
+        """Compare the tasks that an agent has with those that it should have.
+
+        What its former life had started may run until the lease has passed; what the same life
+        does not have never reached it, or has ended.
+        """
         self._unsettled_agents.discard(agent_id)
-        self._lost_at_by_agent.pop(agent_id, None)
+        lost_at = self._lost_at_by_agent.pop(agent_id, None)
         here = set(message.tasks)
         for job, task in self.tasks_at(agent_id):
-            if task.name not in here and job.id in self._job_by_id:
-                self._place_again(job, task, "agent_restarted")
+            if task.name in here or job.id not in self._job_by_id:
+                continue
+            if task.agent_life == link.peer.incarnation:
+                self._place_again(job, task, "not_at_agent")
+            else:
+                former = f"{agent_id}/{task.agent_life}"
+                task.agent_id = former
+                self._lost_at_by_agent.setdefault(former, lost_at or _clock.monotonic())
         known = {task.name for _, task in self.tasks_at(agent_id)}
         for name in here - known:
             link.send(_pool_wire.StopTask(name, 0, "job ended"))
@@ -192,7 +202,8 @@
         else:
             self._waiters_by_id.pop(job_id, None)
 
-    def _begin(self, submission: _pool_jobs.Submission) -> asyncio.Future:
+    def begin(self, submission: _pool_jobs.Submission) -> asyncio.Future:
+        """Take a job; return the future of its answer."""
         now = _clock.monotonic()
         route = submission.route.name
         record = self._estimates.record("", route)
@@ -256,6 +267,7 @@
             if not job.has_ordered:
                 self._metrics.first_start(now - job.arrived_at)
             order = job.order(task, agent_id, PATIENCE_MS)
+            task.agent_life = link.peer.incarnation
             log = loguru.logger.bind(job=job.id, task=name, run=order.run, agent=agent_id)
             log.bind(after_ms=round((now - job.arrived_at) * 1000)).info("task ordered")
             link.send(order)
