--- a/src/daisyfall/version/_routes.py
+++ b/src/daisyfall/version/_routes.py
@@ -7,8 +7,7 @@
 class Route:
     """One queue of jobs; times in milliseconds, `stretch` scales the longest chain of work.
 
-    `kind` keeps the platform's word for logs. `needs_advice` marks a queue whose policy allows
-    only some runners.
+    `needs_advice` marks a queue whose policy allows only some runners.
     """
 
     name: str
