Count a run as ended only when it can't be stopping any more

An order without an answer was stopped, and the next list, which showed the run neither running nor ended, was taken for its end; a run that is being stopped is in neither list for up to the stop time.

Change: a run that is missing from the lists counts as ended only if it is still missing the stop time later, for unanswered orders and for all others; after a confirmed stop the agent looks a second time then.

--- a/features/pool_runs.feature
+++ b/features/pool_runs.feature
@@ -37,6 +37,18 @@
     And its start is not answered
     And the stop of j.0.0 is confirmed
     And the runner lists nothing running, asked 0.01 s later
+    And the runner lists nothing running, asked 0.07 s later
+    Then the ends told are j.0.0:unanswered
+
+  # sal-stock, faulty-runners --seed 530601195494: run 5 began 27 ms before the end of run 4.
+  Scenario: a run that is being stopped is in no list and has not ended
+    When entry e orders task j.0.0 of 4000
+    And its start is not answered
+    And the stop of j.0.0 is confirmed
+    And the runner lists nothing running, asked 0.005 s later
+    And the runner lists nothing running, asked 0.02 s later
+    Then no end is told
+    When the runner lists end 1 of j.0.0 as stopped
     Then the ends told are j.0.0:unanswered
 
   Scenario: a start whose answer was lost goes on when the runner lists it
--- a/src/daisyfall/policy/_bounds.py
+++ b/src/daisyfall/policy/_bounds.py
@@ -16,6 +16,9 @@
 LONGEST_SILENCE_S = 0.45
 # A runner's clock may be this much slow (the platform's protocol page).
 CLOCK_DRIFT = 1.02
+# Times that a runner's stop takes at most, until a stop counts as not confirmed.
+STOPS_PER_LIMIT = 2
+STOPPING_MARGIN_S = 0.01
 # Covers timers that fire late and messages on their way.
 MARGIN_S = 0.06
 
@@ -28,6 +31,11 @@
     silence_s: float
     stop_s: float
 
+    @property
+    def stopping_s(self) -> float:
+        """Return the time that a run may go on, in none of the lists, after its stop began."""
+        return self.stop_s / STOPS_PER_LIMIT * CLOCK_DRIFT + STOPPING_MARGIN_S
+
     @property
     def gone_s(self) -> float:
         """Return the time from an entry's last heartbeat to the certain end of its tasks."""
@@ -42,7 +50,7 @@
     bounds = Bounds(
         lease_s=min(LONGEST_LEASE_S, longest_lease_s, LEASE_PART * resend_s),
         silence_s=min(LONGEST_SILENCE_S, SILENCE_PART * resend_s),
-        stop_s=2 * stop_s,
+        stop_s=STOPS_PER_LIMIT * stop_s,
     )
     if bounds.gone_s > resend_s:
         raise ValueError(
--- a/src/daisyfall/process/_runner_session.py
+++ b/src/daisyfall/process/_runner_session.py
@@ -190,12 +190,15 @@
         await self._stop_run(runner, run)
         if runner is not self._runner:
             return
-        asked_at = _clock.monotonic()
-        reading = await runner.hold(
-            None, self._token, self.runs.acknowledged, 0, self._answer_limit_s()
-        )
-        if runner is self._runner and isinstance(reading, _leased_runner.Reading):
-            self._take_reading(runner, reading, asked_at)
+        # A run that the stop has met is in no list until it has ended, so one look is not enough.
+        for pause_s in (0.0, self._bounds.stopping_s):
+            await asyncio.sleep(pause_s)
+            asked_at = _clock.monotonic()
+            reading = await runner.hold(
+                None, self._token, self.runs.acknowledged, 0, self._answer_limit_s()
+            )
+            if runner is self._runner and isinstance(reading, _leased_runner.Reading):
+                self._take_reading(runner, reading, asked_at)
 
     def _answer_limit_s(self) -> float:
         shortest, longest = ANSWER_LIMITS_S
--- a/src/daisyfall/request/_runs.py
+++ b/src/daisyfall/request/_runs.py
@@ -13,8 +13,6 @@
 from daisyfall.policy import _bounds, _pace
 from daisyfall.process import _leased_runner
 
-# A run that is in none of two lists in a row, asked for after its start, has ended unseen.
-MISSES = 2
 # Ends are told again to an entry that resumes its link within this time.
 REMEMBER_ENDS_S = 5.0
 MOST_REMEMBERED = 2_000
@@ -48,7 +46,7 @@
     started_at: float = 0.0
     pace: _pace.TaskPace | None = None
     moved_at: float = 0.0
-    misses: int = 0
+    missed_at: float = 0.0
     why: str = ""
     stop_since: float = 0.0
     stop_sent_at: float = 0.0
@@ -241,12 +239,8 @@
             if listed is not None and listed.run == run.number:
                 self.started(run, now)
                 self._read_progress(run, listed, now)
-            elif run.phase is Phase.UNANSWERED:
-                ends += self._expire_order(run, asked_at, now)
             elif run.phase is not Phase.STARTING and run.started_at < asked_at:
-                run.misses += 1
-                if run.misses >= MISSES:
-                    ends.append(self.finish(run, LOST, now))
+                ends += self._miss(run, asked_at, now)
         return [each for each in ends if each is not None]
 
     def orphans(self, reading: _leased_runner.Reading) -> list[_leased_runner.Running]:
@@ -317,7 +311,7 @@
         return ends
 
     def _read_progress(self, run: Run, listed: _leased_runner.Running, now: float) -> None:
-        run.misses = 0
+        run.missed_at = 0.0
         if listed.percent != run.pace.percent:
             run.moved_at = now
         run.pace.read(listed.percent, now)
@@ -325,10 +319,17 @@
         if run.phase is Phase.RUNNING and not run.why and now - run.moved_at > limit_s:
             run.why = STALLED
 
-    def _expire_order(self, run: Run, asked_at: float, now: float) -> list[Ended | None]:
-        if asked_at > run.lease_until:
-            return [self.finish(run, UNANSWERED, now)]
-        return []
+    def _miss(self, run: Run, asked_at: float, now: float) -> list[Ended | None]:
+        """Note that a list lacks a run; return its end once it can't be stopping any more.
+
+        A run that is being stopped is in neither list until it has ended.
+        """
+        run.missed_at = run.missed_at or asked_at
+        if asked_at - run.missed_at <= self._bounds.stopping_s:
+            return []
+        if run.phase is not Phase.UNANSWERED:
+            return [self.finish(run, LOST, now)]
+        return [self.finish(run, UNANSWERED, now)] if asked_at > run.lease_until else []
 
     def _could_hold(self, order: _pool_wire.RunTask) -> bool:
         cpu, memory_mb, accelerators = self.capacity
