Start nothing while the lease is withheld

A start order carries a lease that covers everything on the runner. While an agent withheld the renewal because a lost entry's task did not confirm its stop, starts for other entries went on extending that task's lease; and a runner that fell silent was taken for lost at the end of the last renewal, though a later start had extended it.

Change: queued orders wait while the renewal is withheld, and the time after which all runs have ended counts start orders too. An unused field of the entry is gone.

--- /dev/null
+++ b/features/steps/pool_leases_steps.py
@@ -0,0 +1,95 @@
+"""Steps on the leases at the runner beside an agent; the runner answers starts only."""
+
+import asyncio
+
+import event_loop
+from behave import given, then, when
+
+from daisyfall import _clock, _pool_wire
+from daisyfall.policy import _bounds
+from daisyfall.process import _leased_runner, _pool_metrics, _runner_session
+
+BOUNDS = _bounds.derive(1.0, 0.05, 1.3)
+
+
+class FakeRunner:
+    """Confirms starts, lists them as running, and answers no stop."""
+
+    def __init__(self, _report):
+        self.started = []
+        self.ordered_at = 0.0
+
+    async def start(self, order, _limit_s):
+        self.started.append(order.task)
+        self.ordered_at = _clock.monotonic()
+        return _leased_runner.Start.STARTED, 1.0
+
+    async def stop(self, _task, _run, _token, _limit_s):
+        return False
+
+    async def hold(self, _lease_until_ms, _token, _acknowledged, _wait_ms, _limit_s):
+        await asyncio.sleep(0.02)
+        running = tuple(_leased_runner.Running(task, 1, 1) for task in self.started)
+        return _leased_runner.Reading(1.0, 1, running, ())
+
+
+def order_of(task):
+    return _pool_wire.RunTask(task, 1, task.split(".")[0], "{}", 1000, 10, 0, 5000.0, 1000)
+
+
+def give(context, task, entry):
+    context.session.runs.accept(order_of(task), entry, _clock.monotonic())
+    context.session.start_queued()
+
+
+@given("an agent whose runner runs a task of entry e and confirms no stop")
+def make_session(context):
+    def connect(report):
+        context.runner = FakeRunner(report)
+        return context.runner
+
+    async def begin():
+        context.session = _runner_session.RunnerSession(
+            BOUNDS, 1.5, 1, connect, _pool_metrics.PoolMetrics()
+        )
+        context.session.attach(lambda _ends: None, lambda: None, lambda: None)
+        report = _leased_runner.RunnerReport(
+            "i-1", 1, "p", "127.0.0.1:1", 8000, 1000, 0, (), False, 0, 1
+        )
+        context.session.take_report(report)
+        await asyncio.sleep(0.05)
+        give(context, "j.0.0", "e")
+        await asyncio.sleep(0.05)
+        assert context.runner.started == ["j.0.0"]
+
+    event_loop.run(context, begin())
+
+
+@when("entry e is lost for longer than a stop may take")
+def lose_entry(context):
+    async def lose():
+        context.session.runs.lose_entry("e")
+        context.session.send_stops(_clock.monotonic())
+        await asyncio.sleep(BOUNDS.stop_s + 0.03)
+
+    event_loop.run(context, lose())
+
+
+@when("entry f orders a task")
+def order_task(context):
+    async def order():
+        give(context, "k.0.0", "f")
+        await asyncio.sleep(0.05)
+
+    event_loop.run(context, order())
+
+
+@then("the runner gets no start order for it")
+def check_no_start(context):
+    assert context.runner.started == ["j.0.0"], context.runner.started
+
+
+@then("its runs may go on for the lease of its last start order")
+def check_lease(context):
+    least = context.runner.ordered_at + _runner_session.START_LEASE_MS / 1000
+    assert context.session.lease_until >= least
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -53,7 +53,6 @@
         self.configuration: _routes.Configuration | None = None
         self._document = b""
         self._decode_configuration = decode_configuration
-        self._source = source
         self._work = _pool_work.PoolWork(settings.id, settings.bounds, metrics)
         self._work.attach(
             place=self._place,
--- a/src/daisyfall/process/_runner_session.py
+++ b/src/daisyfall/process/_runner_session.py
@@ -44,7 +44,7 @@
 
     `tell` gets the ends of runs, `changed` is called when the runner may take tasks or not,
     `check_pause` before anything that arrived is acted on. The fencing token is raised if the
-    runner knows a higher one.
+    runner knows a higher one. All runs have ended by `lease_until` unless it is extended.
     """
 
     def __init__(
@@ -67,7 +67,7 @@
         self._is_held = False
         self._clock_offset_ms = 0.0
         self._answered_at = 0.0
-        self._lease_until = 0.0
+        self.lease_until = 0.0
         self._failed_holds = 0
         self._unanswered = 0
         self._answer_s = 0.0
@@ -141,9 +141,11 @@
 
     def start_queued(self) -> None:
         """Order the starts of queued tasks that fit now."""
-        if self._runner is None or self.closed_reason(_clock.monotonic()):
+        now = _clock.monotonic()
+        # A start's lease covers all that runs there, so it would undo a withheld renewal.
+        if self._runner is None or self.closed_reason(now) or not self._may_renew(now):
             return
-        for run in self.runs.startable(_clock.monotonic()):
+        for run in self.runs.startable(now):
             self._spawn(self._start(self._runner, run))
 
     def _runner_ms(self) -> int:
@@ -154,6 +156,8 @@
         order = run.order
         sent_at = _clock.monotonic()
         lease_until_ms = self._runner_ms() + START_LEASE_MS
+        lease_s = START_LEASE_MS / 1000 * _bounds.CLOCK_DRIFT + _bounds.MARGIN_S
+        self.lease_until = max(self.lease_until, sent_at + lease_s)
         answer, clock_ms = await runner.start(
             _leased_runner.StartOrder(
                 order.task, run.number, order.payload, lease_until_ms, self._token
@@ -172,7 +176,6 @@
             case _leased_runner.Start.STARTED:
                 self.runs.started(run, now)
             case _leased_runner.Start.UNANSWERED:
-                lease_s = START_LEASE_MS / 1000 * _bounds.CLOCK_DRIFT + _bounds.MARGIN_S
                 self.runs.unanswered(run, sent_at + lease_s)
                 self._note_refusal(answer, now)
                 await self._settle_order(runner, run)
@@ -252,7 +255,8 @@
             if self._may_renew(asked_at):
                 lease_s = self._bounds.lease_s
                 lease_until_ms = self._runner_ms() + int(lease_s * 1000)
-                self._lease_until = asked_at + lease_s * _bounds.CLOCK_DRIFT + _bounds.MARGIN_S
+                until = asked_at + lease_s * _bounds.CLOCK_DRIFT + _bounds.MARGIN_S
+                self.lease_until = max(self.lease_until, until)
             reading = await runner.hold(
                 lease_until_ms,
                 self._token,
@@ -305,7 +309,7 @@
             failed.reason is _leased_runner.Start.UNREACHABLE
             and self._failed_holds >= REFUSED_CONNECTIONS
         )
-        if is_gone or now > self._lease_until:
+        if is_gone or now > self.lease_until:
             if self.runs.by_task:
                 log = loguru.logger.bind(reason=failed.reason.value, tasks=len(self.runs.by_task))
                 log.warning("runner is lost with its tasks")
