Leave a scheduling entry that can be heard but hears nothing

Cause: a scheduling entry that was cut off one way went on beating to the others, so they went on asking it to place tasks that it never heard of. It noticed silent diallers only after 1.5 s, and they beat only each 0.5 s. Found by the new tool `make takeover`, which gives the scheduling entry each fault with the store up and down, and measures the time to the first start of a job that came later through another entry.

Change: a heartbeat between entries tells whether the sender has its tasks placed by the receiver. Such a follower beats each 0.15 s, and the scheduling entry resets a link that is silent for 0.45 s; the reset takes the way that still works. Followers and agents are told at once of a new choice.

The scenario in pool_takeover.feature failed before and passes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo measure slopes soak clean
+.PHONY: install test lint format demo measure slopes soak takeover clean
 
 install: $(STAMP)
 
@@ -36,5 +36,8 @@
 soak: $(STAMP)
 	$(PY) -m daisyfall_standins.soak $(ARGS)
 
+takeover: $(STAMP)
+	$(PY) -m daisyfall_standins.takeover $(ARGS)
+
 clean:
 	rm -rf $(VENV) build src/*.egg-info .ruff_cache .hypothesis
--- a/src/daisyfall/_pool_wire.py
+++ b/src/daisyfall/_pool_wire.py
@@ -158,13 +158,15 @@
 class PeerBeat:
     """Heartbeat between entries; `waiting_by_route` counts jobs of which no task has started.
 
-    `schedules` tells that the sender takes itself for the scheduling entry.
+    `schedules` tells that the sender takes itself for the scheduling entry, `follows_you` that
+    it takes the receiver for it.
     """
 
     is_available: bool
     configuration_version: int
     waiting_by_route: dict
     schedules: bool = False
+    follows_you: bool = False
 
 
 @_wire.message(65)
--- a/src/daisyfall/process/_leadership.py
+++ b/src/daisyfall/process/_leadership.py
@@ -8,6 +8,16 @@
 
 # An entry that was asked to place tasks keeps its view of the runners up to date this long.
 SERVES_AFTER_S = 2.0
+# Heartbeats to the entries that dialled this one; a silent scheduler is replaced after the limit.
+PEER_BEAT_S = 0.1
+PEER_SILENCE_S = 0.35
+# Followers are watched as closely: one whose requests don't arrive has its link reset, as the
+# heartbeats that still reach it would keep it from asking another entry.
+FOLLOWER_BEAT_S = 0.15
+FOLLOWER_SILENCE_S = 0.45
+# Other diallers are only watched so that what they left behind is dropped.
+DIALLER_BEAT_S = 0.5
+DIALLER_SILENCE_S = 1.5
 
 
 @attrs.define(eq=False)
@@ -28,6 +38,7 @@
         self._cores = cores
         self._started_ms = started_ms
         self._peer_by_id: dict[str, _Peer] = {}
+        self._followers: set[str] = set()
         self._asked_at = float("-inf")
         self._schedules_since = float("inf")
 
@@ -41,6 +52,23 @@
         """Forget an entry whose link has ended."""
         self._peer_by_id.pop(peer_id, None)
 
+    def followed(self, peer_id: str, *, is_follower: bool) -> None:
+        """Note whether an entry that dialled this one has its tasks placed here."""
+        if is_follower:
+            self._followers.add(peer_id)
+        else:
+            self._followers.discard(peer_id)
+
+    def rhythm_to(self, peer_id: str) -> _link.Rhythm:
+        """Return the rhythm of a link that this entry dialled to another one."""
+        beat_s = FOLLOWER_BEAT_S if peer_id == self.leader_id else DIALLER_BEAT_S
+        return _link.Rhythm(beat_s, PEER_SILENCE_S)
+
+    def rhythm_from(self, peer_id: str) -> _link.Rhythm:
+        """Return the rhythm of a link that another entry dialled to this one."""
+        silence_s = FOLLOWER_SILENCE_S if peer_id in self._followers else DIALLER_SILENCE_S
+        return _link.Rhythm(PEER_BEAT_S, silence_s)
+
     def asked(self, now: float) -> None:
         """Note that another entry takes this one for the scheduling one."""
         self._asked_at = now
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -22,12 +22,6 @@
 from daisyfall.version import _routes
 
 TICK_S = 0.04
-# Heartbeats between entries; a silent scheduler is replaced after the limit.
-PEER_BEAT_S = 0.1
-PEER_SILENCE_S = 0.35
-# A dialling entry is only watched so that what it left behind is dropped.
-DIALLER_BEAT_S = 0.5
-DIALLER_SILENCE_S = 1.5
 # An agent stops the tasks of an entry that is silent, so several beats fit into its limit.
 BEATS_PER_SILENCE = 2
 # The scheduling entry must not place tasks at an agent that is gone; for the others, agents
@@ -122,8 +116,8 @@
 
     def _tick(self, now: float) -> None:
         self.peers.expire(now)
-        for link in list(self._incoming.values()):
-            link.expire(now, DIALLER_SILENCE_S)
+        for peer_id, link in list(self._incoming.items()):
+            link.expire(now, self._leadership.rhythm_from(peer_id).silence_s)
         self._follow_leader(now)
         self._scheduling.advance()
         self._work.expire(now)
@@ -247,7 +241,7 @@
         for job_id in self._work.waiting_ids():
             self._withdraw(job_id, before)
         self._work.ask_again(now)
-        self._beat_agents()
+        self._beat_all()
 
     # Links that this entry dialled.
 
@@ -318,12 +312,13 @@
         try:
             await link.serve(
                 lambda message: self._handle_peer(peer_id, link, message),
-                self._peer_beat,
-                lambda: _link.Rhythm(PEER_BEAT_S, DIALLER_SILENCE_S),
+                lambda: self._peer_beat(peer_id),
+                lambda: self._leadership.rhythm_from(peer_id),
             )
         finally:
             if self._incoming.get(peer_id) is link:
                 del self._incoming[peer_id]
+                self._leadership.followed(peer_id, is_follower=False)
                 self._scheduling.withdraw_entry(peer_id)
 
     def _handle_peer(self, peer_id: str, link: _link.Link, message) -> None:
@@ -339,7 +334,7 @@
             case _pool_wire.CancelJob():
                 self._work.cancel(message.job_id)
             case _pool_wire.PeerBeat():
-                pass
+                self._leadership.followed(peer_id, is_follower=message.follows_you)
             case _:
                 self._take_shared(message)
 
@@ -363,12 +358,13 @@
 
     def beat(self, node: _pool_peers.Node) -> _pool_wire.Beat | _pool_wire.PeerBeat:
         """Return the heartbeat for a node."""
-        return self._agent_beat() if node.role == _pool_wire.ROLE_AGENT else self._peer_beat()
+        is_agent = node.role == _pool_wire.ROLE_AGENT
+        return self._agent_beat() if is_agent else self._peer_beat(node.id)
 
     def rhythm(self, node: _pool_peers.Node) -> _link.Rhythm:
         """Return how often to beat towards a node, and when it counts as silent."""
         if node.role == _pool_wire.ROLE_ENTRY:
-            return _link.Rhythm(DIALLER_BEAT_S, PEER_SILENCE_S)
+            return self._leadership.rhythm_to(node.id)
         limit_s = self.settings.bounds.silence_s
         is_close = self._leadership.has_scheduled_for(limit_s, _clock.monotonic())
         silence_s = limit_s if is_close else AGENT_SILENCE_S
@@ -377,17 +373,18 @@
     def _agent_beat(self) -> _pool_wire.Beat:
         return _pool_wire.Beat(self._leadership.schedules(_clock.monotonic()))
 
-    def _beat_agents(self) -> None:
+    def _beat_all(self) -> None:
+        """Tell agents and entries at once which entry this one follows now."""
         for node_id, link in self.peers.link_by_id.items():
-            if self.peers.node_by_id[node_id].role == _pool_wire.ROLE_AGENT:
-                link.send(self._agent_beat())
+            link.send(self.beat(self.peers.node_by_id[node_id]))
 
-    def _peer_beat(self) -> _pool_wire.PeerBeat:
+    def _peer_beat(self, peer_id: str) -> _pool_wire.PeerBeat:
         return _pool_wire.PeerBeat(
             not self._is_draining and self._scheduling.has_open_runner(),
             self.configuration.version if self.configuration else 0,
             self._work.waiting_by_route(),
             self._leadership.leader_id == self.settings.id,
+            self._leadership.leader_id == peer_id,
         )
 
     def _entry_links(self) -> dict[str, _link.Link]:
--- a/src/daisyfall_standins/leased_runner.py
+++ b/src/daisyfall_standins/leased_runner.py
@@ -45,6 +45,7 @@
     starts_by_task: dict[str, int] = attrs.Factory(dict)
     done: set[str] = attrs.Factory(set)
     order: list[tuple[str, str]] = attrs.Factory(list)
+    first_start_by_task: dict[str, float] = attrs.Factory(dict)  # s, steady clock
 
     def began(self, task: str) -> None:
         """Count a start; two runs at the same time are noted."""
@@ -52,6 +53,7 @@
         running = self.running_by_task.get(task, 0) + 1
         self.running_by_task[task] = running
         self.starts_by_task[task] = self.starts_by_task.get(task, 0) + 1
+        self.first_start_by_task.setdefault(task, time.monotonic())
         if running > 1:
             self.twice.append(task)
 
--- a/src/daisyfall_standins/verdict.py
+++ b/src/daisyfall_standins/verdict.py
@@ -15,7 +15,7 @@
 # Features run side by side; more would make the processes of the fault features wait for cores.
 WORKERS = 4
 # Features that start processes; they take longest.
-PROCESS_FEATURES = ("faults_", "pool_faults", "pool_path", "pool_soak")
+PROCESS_FEATURES = ("faults_", "pool_faults", "pool_path", "pool_soak", "pool_takeover")
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 
 
