Place the jobs of urgent routes first

Cause: a route's priority was carried to the scheduling entry, but the order of what waits didn't use it.

Change: what waits is ordered by the route's priority, then by latest start; started jobs still come first. Work that is less urgent no longer counts against an urgent job at its arrival. Nothing that runs is preempted.

--- a/features/pool_policy.feature
+++ b/features/pool_policy.feature
@@ -129,6 +129,33 @@
     And the task of job a ends
     Then job c is placed
 
+  # Load pattern: a full pool of several routes. Urgent work doesn't queue behind other work.
+  Scenario: a job of a more urgent route is placed first
+    Given a scheduler with runners r1:1000
+    And job a of 1 tasks of 1000 arrives
+    When job b of priority 1 arrives that has to start within 0.5 s
+    And job c of priority 0 arrives that has to start within 0.9 s
+    And the task of job a ends
+    Then job c is placed
+    And job b is not placed
+
+  Scenario: an urgent job is not in vain behind less urgent work
+    Given a scheduler with runners r1:1000
+    And job a of 1 tasks of 1000 arrives
+    When job b of priority 2 arrives that has to start within 0.19 s
+    And job c of priority 2 arrives that has to start within 0.19 s
+    And job d of priority 0 arrives that has to start within 0.19 s
+    Then job c is refused as in_vain
+    And job d is not refused
+
+  # The tasks that have run already would be lost.
+  Scenario: the rest of a started job goes before urgent work
+    Given a scheduler with runners r1:1000
+    When job a of 2 tasks of 1000 arrives
+    And job b of priority 0 arrives that has to start within 0.9 s
+    And the task of job a ends
+    Then job b is not placed
+
   Scenario: a job that is in vain behind the work before it is refused at once
     Given a scheduler with runners r1:1000
     And job a of 1 tasks of 1000 arrives
--- a/features/steps/pool_policy_steps.py
+++ b/features/steps/pool_policy_steps.py
@@ -138,7 +138,7 @@
     make_scheduler(context, " ".join(f"r{number}:{cpu}" for number in range(count)))
 
 
-def submit(context, job, tasks, cpu=1000, within_s=SOON_S, **changes):
+def submit(context, job, tasks, cpu=1000, within_s=SOON_S, *, priority=1, **changes):
     demands = [
         _room.Demand(f"{job}.0.{index}", job, cpu, 10, expected_ms=TASK_MS, **changes)
         for index in range(tasks)
@@ -148,7 +148,7 @@
         entry_id="e",
         job_id=job,
         pool=POOL,
-        priority=0,
+        priority=priority,
         demands=demands,
         latest_start=context.now + within_s,
         ends_by=context.now + within_s + 5,
@@ -237,6 +237,11 @@
     submit(context, job, tasks, cpu, within)
 
 
+@when("job {job} of priority {priority:d} arrives that has to start within {within:g} s")
+def arrive_of_route(context, job, priority, within):
+    submit(context, job, 1, within_s=within, priority=priority)
+
+
 @when("job {job} of {tasks:d} tasks of {cpu:d} with at most {most:d} per runner arrives")
 def arrive_apart(context, job, tasks, cpu, most):
     context.job = job
--- a/src/daisyfall/policy/_waiting.py
+++ b/src/daisyfall/policy/_waiting.py
@@ -1,9 +1,10 @@
 """Jobs that wait for room: their order, and whom to refuse.
 
-Answers load above capacity. Jobs wait in the order of their latest start, the time by which
-their longest task has to start for the job to meet its objective. A job that can't meet it
-any more would only make others late, so it is refused: at its arrival if the work ahead of it
-takes too long, or when its latest start passes. A burst therefore leaves no tail behind it.
+Answers load above capacity. Jobs wait by the priority of their route, and within it in the
+order of their latest start, the time by which their longest task has to start for the job to
+meet its objective. A job that can't meet it any more would only make others late, so it is
+refused: at its arrival if the work ahead of it takes too long, or when its latest start
+passes, as urgent work may overtake it. A burst therefore leaves no tail behind it.
 Jobs of which a task has run already come first; the work done would be lost otherwise.
 """
 
@@ -24,7 +25,10 @@
 
 @attrs.define(slots=True, eq=False)
 class Item:
-    """Tasks of one job that wait; times are in seconds on the steady clock."""
+    """Tasks of one job that wait; times are in seconds on the steady clock.
+
+    `priority` is that of the job's route, 0 the most urgent.
+    """
 
     id: str
     entry_id: str
@@ -44,7 +48,7 @@
     @property
     def rank(self) -> tuple:
         """Return the place in the queue, smallest first."""
-        return (not self.has_started, self.latest_start)
+        return (not self.has_started, self.priority, self.latest_start)
 
 
 class Waiting:
