Accept links and make metrics in one place

Change: `_link.listen` exchanges the Opens itself and passes only opened links on; `_metric_families.MetricFamilies` is the base of both classes of metrics. The limits of distinct label values stay 32 and 40. The length limit of a label (48 characters) now holds for the pool's metrics as well.

--- a/features/steps/observation_steps.py
+++ b/features/steps/observation_steps.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from daisyfall import errors
-from daisyfall.process import _log, _metrics, _settings
+from daisyfall.process import _log, _metric_families, _metrics, _settings
 
 
 def labels_of(metrics: _metrics.Metrics, sample: str, label: str) -> dict[str, float]:
@@ -39,7 +39,7 @@
     metrics = _metrics.Metrics()
     metrics.wasted("x" * length)
     found = labels_of(metrics, "daisyfall_wasted_messages_total", "reason")
-    assert found == {_metrics.OTHER: 1}, found
+    assert found == {_metric_families.OTHER: 1}, found
 
 
 def counts(text: str) -> dict[str, int]:
--- a/src/daisyfall/connection/_link.py
+++ b/src/daisyfall/connection/_link.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
@@ -127,13 +127,6 @@
         return True
 
 
-async def accept(socket, own: _pool_wire.Open) -> Link:
-    """Exchange Opens as the accepting side; raise `LinkError`."""
-    peer = await _receive_open(socket)
-    await _send_open(socket, own)
-    return Link(socket, peer)
-
-
 async def dial(address: str, own: _pool_wire.Open) -> tuple[Any, Link]:
     """Connect to `host:port` and exchange Opens; raise `LinkError`."""
     try:
@@ -156,10 +149,26 @@
         raise
 
 
-def listen(handler, address: str, port: int):
-    """Return a server that passes each connection to `handler`."""
+def listen(
+    serve: Callable[[Link], Awaitable[None]],
+    own: Callable[[], _pool_wire.Open],
+    address: str,
+    port: int,
+):
+    """Return a server that exchanges Opens on each connection and passes the link to `serve`."""
+
+    async def accept(socket) -> None:
+        try:
+            peer = await _receive_open(socket)
+            await _send_open(socket, own())
+        except LinkError as error:
+            loguru.logger.bind(reason=str(error)).warning("link refused")
+            socket.transport.abort()
+            return
+        await serve(Link(socket, peer))
+
     return websockets.serve(
-        handler,
+        accept,
         address,
         port,
         compression=None,
--- a/src/daisyfall/process/_metrics.py
+++ b/src/daisyfall/process/_metrics.py
@@ -8,15 +8,10 @@
 import prometheus_client as prometheus
 
 from daisyfall import errors
+from daisyfall.process import _metric_families
 
-# The creation times would double the size of each scrape and nothing reads them.
-prometheus.disable_created_metrics()
-
-# A reason beyond this many distinct ones per metric is counted as "other", so that
-# texts from other processes can't grow the memory of this one.
-LONGEST_LABEL_CHARACTERS = 48
+# Distinct values of one label; more than any closed list of reasons has.
 MOST_LABEL_VALUES = 32
-OTHER = "other"
 
 OUTCOMES = ("done", "failed", "not_started", "lost", "evicted")
 TABLE_OPERATIONS = ("read", "transact")
@@ -28,13 +23,12 @@
 _RATIOS = (1.0, 1.02, 1.05, 1.1, 1.2, 1.3, 1.5, 2.0, 3.0, 5.0, 10.0)
 
 
-class Metrics:
-    """The registry of one process and all metrics in it."""
+class Metrics(_metric_families.MetricFamilies):
+    """All metrics of one process."""
 
     def __init__(self):
-        self.registry = prometheus.CollectorRegistry()
+        super().__init__(MOST_LABEL_VALUES)
         prometheus.ProcessCollector(registry=self.registry)
-        self._values_by_metric: dict[str, set[str]] = {}
         self._make_counters()
         self._make_histograms()
         self._make_gauges()
@@ -181,26 +175,3 @@
             self._bounded(self._ledger, what).set(value)
         self._tasks.labels("running").set(running)
         self._tasks.labels("queued").set(queued)
-
-    def render(self) -> bytes:
-        """Return the exposition format."""
-        return prometheus.generate_latest(self.registry)
-
-    def _bounded(self, metric, value: str):
-        seen = self._values_by_metric.setdefault(metric._name, set())
-        if value not in seen:
-            if len(seen) >= MOST_LABEL_VALUES or len(value) > LONGEST_LABEL_CHARACTERS:
-                value = OTHER
-            seen.add(value)
-        return metric.labels(value)
-
-    def _counter(self, name: str, text: str, *labels: str) -> prometheus.Counter:
-        return prometheus.Counter(f"daisyfall_{name}", text, labels, registry=self.registry)
-
-    def _gauge(self, name: str, text: str, *labels: str) -> prometheus.Gauge:
-        return prometheus.Gauge(f"daisyfall_{name}", text, labels, registry=self.registry)
-
-    def _histogram(self, name: str, text: str, buckets: tuple, *labels: str):
-        return prometheus.Histogram(
-            f"daisyfall_{name}", text, labels, buckets=buckets, registry=self.registry
-        )
--- a/src/daisyfall/process/_pool_agent.py
+++ b/src/daisyfall/process/_pool_agent.py
@@ -60,10 +60,16 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set, then finish what runs."""
-        server = _link.listen(self._serve_entry, self.settings.address, self.settings.port)
+        settings = self.settings
+        server = _link.listen(
+            self._serve_entry,
+            lambda: settings.open(_pool_wire.ROLE_AGENT, []),
+            settings.address,
+            settings.port,
+        )
         async with server:
             ticker = asyncio.create_task(self._tick_forever())
-            loguru.logger.bind(port=self.settings.port).info("agent started")
+            loguru.logger.bind(port=settings.port).info("agent started")
             await stop.wait()
             await self._drain()
             ticker.cancel()
@@ -102,13 +108,7 @@
 
     # Entries.
 
-    async def _serve_entry(self, socket) -> None:
-        try:
-            link = await _link.accept(socket, self.settings.open(_pool_wire.ROLE_AGENT, []))
-        except _link.LinkError as error:
-            loguru.logger.bind(reason=str(error)).warning("link refused")
-            socket.transport.abort()
-            return
+    async def _serve_entry(self, link: _link.Link) -> None:
         session = self._resume(link)
         try:
             await link.serve(
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -69,10 +69,16 @@
         `close_callers` stops listening, closes idle connections and returns when the others
         have got their answers.
         """
-        server = _link.listen(self._serve_peer, self.settings.address, self.settings.port)
+        settings = self.settings
+        server = _link.listen(
+            self._serve_peer,
+            lambda: settings.open(_pool_wire.ROLE_ENTRY, []),
+            settings.address,
+            settings.port,
+        )
         async with server:
             ticker = asyncio.create_task(self._tick_forever())
-            loguru.logger.bind(port=self.settings.port).info("entry started")
+            loguru.logger.bind(port=settings.port).info("entry started")
             await stop.wait()
             await self._drain(close_callers)
             ticker.cancel()
@@ -297,13 +303,7 @@
 
     # Links that other entries dialled.
 
-    async def _serve_peer(self, socket) -> None:
-        try:
-            link = await _link.accept(socket, self.settings.open(_pool_wire.ROLE_ENTRY, []))
-        except _link.LinkError as error:
-            loguru.logger.bind(reason=str(error)).warning("link refused")
-            socket.transport.abort()
-            return
+    async def _serve_peer(self, link: _link.Link) -> None:
         peer_id = link.peer.node_id
         known = self._incoming.get(peer_id)
         if known is not None:
--- a/src/daisyfall/process/_pool_metrics.py
+++ b/src/daisyfall/process/_pool_metrics.py
@@ -1,22 +1,18 @@
 """Metrics of the pool dispatcher; labels take values of closed lists only."""
 
-import prometheus_client as prometheus
-
-prometheus.disable_created_metrics()
+from daisyfall.process import _metric_families
 
 # Bounds of histograms in seconds, from one network hop to the longest deadline.
 _SECONDS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
-# More distinct values of one label than this are counted as "other".
+# Distinct values of one label; more than any closed list of reasons has.
 MOST_LABEL_VALUES = 40
-OTHER = "other"
 
 
-class PoolMetrics:
-    """The registry of one entry or agent and all metrics in it."""
+class PoolMetrics(_metric_families.MetricFamilies):
+    """All metrics of one entry or agent."""
 
     def __init__(self):
-        self.registry = prometheus.CollectorRegistry()
-        self._values_by_metric: dict[str, set[str]] = {}
+        super().__init__(MOST_LABEL_VALUES)
         self._answers = self._counter("pool_answers", "Answers to callers by outcome", "outcome")
         self._retries = self._counter("pool_retries", "Tasks placed again by reason", "reason")
         self._refusals = self._counter("pool_refusals", "Jobs refused by reason", "reason")
@@ -24,8 +20,12 @@
         self._starts = self._counter("pool_start_answers", "Answers to start orders", "answer")
         self._holds = self._counter("pool_failed_renewals", "Failed lease renewals", "reason")
         self._store_errors = self._counter("pool_store_errors", "Failed store calls", "reason")
-        self._latency = self._histogram("pool_answer_seconds", "Time to the answer", "outcome")
-        self._first_start = self._histogram("pool_first_start_seconds", "Time to the first order")
+        self._latency = self._histogram(
+            "pool_answer_seconds", "Time to the answer", _SECONDS, "outcome"
+        )
+        self._first_start = self._histogram(
+            "pool_first_start_seconds", "Time to the first order", _SECONDS
+        )
         self._gauges = self._gauge("pool_state", "State by quantity", "quantity")
         self._dropped_lines = self._counter("pool_dropped_log_lines", "Log lines over the budget")
 
@@ -70,26 +70,3 @@
         """Set gauges such as `queued` or `configuration_version`."""
         for quantity, value in value_by_quantity.items():
             self._gauges.labels(quantity).set(value)
-
-    def render(self) -> bytes:
-        """Return the exposition format."""
-        return prometheus.generate_latest(self.registry)
-
-    def _bounded(self, metric, value: str):
-        seen = self._values_by_metric.setdefault(metric._name, set())
-        if value not in seen:
-            if len(seen) >= MOST_LABEL_VALUES:
-                value = OTHER
-            seen.add(value)
-        return metric.labels(value)
-
-    def _counter(self, name: str, text: str, *labels: str) -> prometheus.Counter:
-        return prometheus.Counter(f"daisyfall_{name}", text, labels, registry=self.registry)
-
-    def _gauge(self, name: str, text: str, *labels: str) -> prometheus.Gauge:
-        return prometheus.Gauge(f"daisyfall_{name}", text, labels, registry=self.registry)
-
-    def _histogram(self, name: str, text: str, *labels: str) -> prometheus.Histogram:
-        return prometheus.Histogram(
-            f"daisyfall_{name}", text, labels, buckets=_SECONDS, registry=self.registry
-        )
