--- a/deploy/node.py
+++ b/deploy/node.py
@@ -1,10 +1,14 @@
 """Start one process on the users' platform: `node.py entry` or `node.py agent`."""
 
+import os
 import pathlib
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
 
+# All calls are plain HTTP, but aiohttp reads the host's certificates twice when it is imported.
+os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+
 from daisyfall.platform import node
 
 node.main()
--- a/features/steps/pool_work_steps.py
+++ b/features/steps/pool_work_steps.py
@@ -54,6 +54,7 @@
         withdraw=lambda _job: None,
         link_to=lambda _agent: context.link,
         describe=dict,
+        on_dispatch=lambda _agent: None,
     )
     context.now = _clock.monotonic()
     context.task = start_job(context, "job1")
--- a/src/daisyfall/_pool_wire.py
+++ b/src/daisyfall/_pool_wire.py
@@ -11,13 +11,18 @@
 ROLE_ENTRY = "entry"
 ROLE_AGENT = "agent"
 
+# Revision of the messages. From 1 on, a link without work needs few heartbeats, and a heartbeat
+# between entries tells when the next one is due.
+REVISION = 1
+
 
 @_wire.message(50)
 class Handshake:
     """First message of both sides; identifies the process.
 
     `cores` is the processor capacity of the process, `started_ms` its start time (Unix time). An
-    entry lists in `tasks` those that it assumes to be at the agent.
+    entry lists in `tasks` those that it assumes to be at the agent. `revision` is the `REVISION`
+    of the sender, 0 for builds that don't send it.
     """
 
     role: str
@@ -28,6 +33,19 @@
     cores: float
     started_ms: int
     tasks: list = attrs.Factory(list)
+    revision: int = 0
+
+    def has_valid_types(self) -> bool:
+        """Return whether all fields have the declared types."""
+        texts = (self.role, self.node_id, self.incarnation, self.data_centre)
+        numbers = (self.version, self.started_ms, self.revision)
+        return (
+            all(isinstance(text, str) for text in texts)
+            and all(type(number) is int for number in numbers)
+            and type(self.cores) in (int, float)
+            and isinstance(self.tasks, list)
+            and all(isinstance(task, str) for task in self.tasks)
+        )
 
 
 @_wire.message(51)
@@ -35,10 +53,11 @@
     """Heartbeat between entry and agent.
 
     With `is_scheduling`, the entry is the scheduling one and asks the agent for
-    `AllocationReport`s.
+    `AllocationReport`s. `sent_ms` is the sender's monotonic clock, 0 if unknown.
     """
 
     is_scheduling: bool = False
+    sent_ms: int = 0
 
 
 @_wire.message(52)
@@ -46,7 +65,8 @@
     """Entry to agent: run one task, after waiting at most `queue_timeout_ms` for capacity.
 
     `may_reschedule` allows the agent to end the task on a slow runner, so that the entry has it
-    placed elsewhere. `run` numbers the attempts of a task.
+    placed elsewhere. `run` numbers the attempts of a task. `sent_ms` is the entry's monotonic
+    clock when the order was sent, 0 if unknown.
     """
 
     task: str
@@ -59,6 +79,7 @@
     expected_ms: float
     queue_timeout_ms: int
     may_reschedule: bool = False
+    sent_ms: int = 0
 
 
 @_wire.message(53)
@@ -174,7 +195,8 @@
     """Heartbeat between entries; `waiting_by_route` counts jobs without a started task.
 
     `is_scheduling` tells that the sender regards itself as the scheduling entry,
-    `follows_receiver` that it regards the receiver as the scheduling entry.
+    `follows_receiver` that it regards the receiver as the scheduling entry. The next heartbeat is
+    due after `interval_ms`.
     """
 
     is_available: bool
@@ -182,6 +204,7 @@
     waiting_by_route: dict
     is_scheduling: bool = False
     follows_receiver: bool = False
+    interval_ms: int = 100
 
 
 @_wire.message(65)
--- a/src/daisyfall/_wire.py
+++ b/src/daisyfall/_wire.py
@@ -18,6 +18,16 @@
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
 _CLASS_BY_TAG: dict[int, type] = {}
+# What the codec raises for bytes that are no message; a deep nesting exhausts the stack.
+_DECODE_ERRORS = (
+    cbor2.CBORDecodeError,
+    KeyError,
+    TypeError,
+    ValueError,
+    RecursionError,
+    OverflowError,
+    MemoryError,
+)
 
 
 class WireError(Exception):
@@ -324,7 +334,7 @@
     """Decode one message; raise `WireError` if `data` is not a valid message."""
     try:
         return _decode_array(cbor2.loads(data))
-    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError) as error:
+    except _DECODE_ERRORS as error:
         raise WireError(f"{len(data)} bytes are not a known message: {error}") from error
 
 
@@ -340,7 +350,7 @@
     """Decode a frame of `encode_batch`; raise `WireError` if it is not valid."""
     try:
         return [_decode_array(array) for array in cbor2.loads(data)]
-    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError) as error:
+    except _DECODE_ERRORS as error:
         raise WireError(f"{len(data)} bytes are not a batch of messages: {error}") from error
 
 
--- a/src/daisyfall/connection/_link.py
+++ b/src/daisyfall/connection/_link.py
@@ -2,10 +2,14 @@
 
 A link whose heartbeat timeout has passed is aborted with a TCP reset. The reset drops data in
 transit, so no command arrives after its sender has aborted the connection.
+
+The owner of a link sets its heartbeat timing, which is short only while the link is needed: a
+fleet has a link for each entry and agent, but work on few of them at a time.
 """
 
 import asyncio
 import contextlib
+import socket as sockets
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -19,6 +23,13 @@
 # Bounds the memory that is used for a peer that does not read.
 MAX_UNSENT_MESSAGES = 20_000
 MAX_FRAME_BYTES = _wire.MAX_MESSAGE_BYTES
+# Other messages replace a heartbeat for at most this long, since it also carries state.
+MAX_HEARTBEAT_GAP_S = 1.0
+# The kernel resets a connection whose peer acknowledges nothing for idle + count * interval
+# seconds, so a dead link is noticed between two rare heartbeats too.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_COUNT = 2
 
 
 class LinkError(Exception):
@@ -36,14 +47,21 @@
 class Link:
     """Established connection; `peer` is the `Handshake` of the other side."""
 
-    def __init__(self, socket, peer: _pool_wire.Handshake):
+    def __init__(self, socket, peer: _pool_wire.Handshake, count_error: Callable[[str], None]):
         self.peer = peer
         self.opened_at = self.last_received_at = _clock.monotonic()
         self.is_closed = False
         self.close_reason = ""
         self._socket = socket
+        self._count_error = count_error
+        self._timing = HeartbeatTiming(float("inf"), float("inf"))
+        # The timeout is counted from here if the link got its timing after the last message.
+        self._timing_set_at = self.opened_at
         self._unsent: list[Any] = []
         self._sent_at = float("-inf")
+        self._heartbeat_at = float("inf")
+        self._heartbeat_sent_at = float("-inf")
+        self._heartbeat_timer: asyncio.TimerHandle | None = None
         self._wake_writer = asyncio.Event()
 
     def send(self, message: Any) -> None:
@@ -65,23 +83,37 @@
             if self._socket.transport is not None:
                 self._socket.transport.abort()
 
-    def expire(self, now: float, heartbeat_timeout_s: float) -> None:
-        """Reset the connection if the peer's heartbeat timeout has passed."""
-        if now - self.last_received_at > heartbeat_timeout_s:
-            self.abort(f"silent for more than {heartbeat_timeout_s:.2f} s")
-
-    async def serve(
-        self,
-        handle: Callable[[Any], None],
-        make_heartbeat: Callable[[], Any],
-        timing: Callable[[], HeartbeatTiming],
-    ) -> None:
+    @property
+    def timing(self) -> HeartbeatTiming:
+        """Return the present heartbeat timing."""
+        return self._timing
+
+    def set_timing(self, timing: HeartbeatTiming) -> None:
+        """Change interval and timeout; a shorter timeout is counted from now."""
+        previous, self._timing = self._timing, timing
+        if timing is previous or timing == previous:
+            return
+        now = _clock.monotonic()
+        if timing.heartbeat_timeout_s < previous.heartbeat_timeout_s:
+            self._timing_set_at = now
+        if timing.interval_s < previous.interval_s:
+            self._schedule_heartbeat(now)
+
+    def expire(self, now: float) -> bool:
+        """Reset the connection if the peer's heartbeat timeout has passed; return whether so."""
+        timeout_s = self._timing.heartbeat_timeout_s
+        if now - max(self.last_received_at, self._timing_set_at) <= timeout_s:
+            return False
+        self.abort(f"silent for more than {timeout_s:.2f} s")
+        return True
+
+    async def serve(self, handle: Callable[[Any], None], make_heartbeat: Callable[[], Any]) -> None:
         """Pass messages to `handle` until the link ends.
 
-        `make_heartbeat` returns the heartbeat message. `timing` is called before each heartbeat,
-        since interval and timeout may change while the link is open.
+        `make_heartbeat` returns the heartbeat message. A message that can't be decoded, or for
+        which `handle` raises, ends the link but not the process.
         """
-        writer = asyncio.create_task(self._write(make_heartbeat, timing))
+        writer = asyncio.create_task(self._write(make_heartbeat))
         try:
             async for frame in self._socket:
                 if self.is_closed:
@@ -93,39 +125,72 @@
         except websockets.ConnectionClosed as error:
             self.abort(self.close_reason or f"connection lost: {error}")
         except _wire.WireError as error:
-            self.abort(str(error))
+            self._reject("malformed", error)
+        except Exception as error:
+            loguru.logger.opt(exception=error).bind(peer=self.peer.node_id).error(
+                "a message could not be handled"
+            )
+            self._reject("unhandled", error)
         finally:
             self.abort("the handler ended")
+            if self._heartbeat_timer is not None:
+                self._heartbeat_timer.cancel()
             writer.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await writer
 
-    async def _write(
-        self, make_heartbeat: Callable[[], Any], timing: Callable[[], HeartbeatTiming]
-    ) -> None:
-        """Send queued messages, and a heartbeat at each multiple of the interval.
+    def _reject(self, reason: str, error: Exception) -> None:
+        self._count_error(reason)
+        log = loguru.logger.bind(peer=self.peer.node_id, reason=reason)
+        log.warning(f"link reset after a bad message: {error}")
+        self.abort(f"{reason} message: {error}")
+
+    def _schedule_heartbeat(self, now: float) -> None:
+        """Schedule the next heartbeat at a multiple of the interval.
 
         All links of a process send their heartbeats at the same time, so that the process wakes
-        up once for all of them. A message that was sent in the last half interval replaces the
-        heartbeat.
+        up once for all of them.
         """
-        loop = asyncio.get_running_loop()
-        heartbeat_at = 0.0
+        if self._heartbeat_timer is not None:
+            self._heartbeat_timer.cancel()
+            self._heartbeat_timer = None
+        interval_s = self._timing.interval_s
+        if interval_s == float("inf"):
+            self._heartbeat_at = interval_s
+            return
+        self._heartbeat_at = (now // interval_s + 1) * interval_s
+        self._heartbeat_timer = asyncio.get_running_loop().call_later(
+            self._heartbeat_at - now, self._wake_writer.set
+        )
+
+    async def _write(self, make_heartbeat: Callable[[], Any]) -> None:
+        """Send queued messages and heartbeats.
+
+        A message that was sent in the last half interval replaces the heartbeat, but not for
+        longer than `MAX_HEARTBEAT_GAP_S`.
+        """
+        self._schedule_heartbeat(_clock.monotonic())
         while not self.is_closed:
             now = _clock.monotonic()
-            if now >= heartbeat_at:
-                current = timing()
-                self.expire(now, current.heartbeat_timeout_s)
-                if now - self._sent_at > current.interval_s / 2:
+            if now >= self._heartbeat_at:
+                if self.expire(now):
+                    return
+                if self._is_heartbeat_needed(now):
                     self._unsent.append(make_heartbeat())
-                heartbeat_at = (now // current.interval_s + 1) * current.interval_s
-                loop.call_later(heartbeat_at - now, self._wake_writer.set)
+                    self._heartbeat_sent_at = now
+                self._schedule_heartbeat(now)
             self._wake_writer.clear()
             if self._unsent and not await self._flush():
                 return
             if not self._unsent:
                 await self._wake_writer.wait()
 
+    def _is_heartbeat_needed(self, now: float) -> bool:
+        return (
+            now - self._sent_at > self._timing.interval_s / 2
+            or now - self._heartbeat_sent_at > MAX_HEARTBEAT_GAP_S
+        )
+
     async def _flush(self) -> bool:
         messages, self._unsent = self._unsent, []
         self._sent_at = _clock.monotonic()
@@ -137,8 +202,13 @@
         return True
 
 
-async def dial(address: str, handshake: _pool_wire.Handshake) -> tuple[Any, Link]:
-    """Connect to `host:port` and exchange handshakes; raise `LinkError` on failure."""
+async def dial(
+    address: str, handshake: _pool_wire.Handshake, count_error: Callable[[str], None]
+) -> tuple[Any, Link]:
+    """Connect to `host:port` and exchange handshakes; raise `LinkError` on failure.
+
+    `count_error` is called with the reason when a message of the peer is rejected.
+    """
     try:
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
             socket = await websockets.connect(
@@ -153,7 +223,8 @@
         raise LinkError(f"{type(error).__name__}: {error}") from error
     try:
         await _send_handshake(socket, handshake)
-        return socket, Link(socket, await _receive_handshake(socket))
+        _keep_alive(socket)
+        return socket, Link(socket, await _receive_handshake(socket), count_error)
     except LinkError:
         socket.transport.abort()
         raise
@@ -164,18 +235,24 @@
     make_handshake: Callable[[], _pool_wire.Handshake],
     address: str,
     port: int,
+    count_error: Callable[[str], None],
 ):
-    """Return a server that passes each link to `serve` after exchanging handshakes."""
+    """Return a server that passes each link to `serve` after exchanging handshakes.
+
+    `count_error` is called with the reason when a handshake or a message is rejected.
+    """
 
     async def accept(socket) -> None:
+        _keep_alive(socket)
         try:
             peer = await _receive_handshake(socket)
             await _send_handshake(socket, make_handshake())
         except LinkError as error:
+            count_error("handshake")
             loguru.logger.bind(reason=str(error)).warning("link refused")
             socket.transport.abort()
             return
-        await serve(Link(socket, peer))
+        await serve(Link(socket, peer, count_error))
 
     return websockets.serve(
         accept,
@@ -189,6 +266,14 @@
     )
 
 
+def _keep_alive(socket) -> None:
+    raw = socket.transport.get_extra_info("socket")
+    raw.setsockopt(sockets.SOL_SOCKET, sockets.SO_KEEPALIVE, 1)
+    raw.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    raw.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    raw.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_KEEPCNT, KEEPALIVE_COUNT)
+
+
 async def _send_handshake(socket, handshake: _pool_wire.Handshake) -> None:
     try:
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
@@ -205,6 +290,8 @@
         raise LinkError(f"no handshake received: {type(error).__name__}: {error}") from error
     if not isinstance(message, _pool_wire.Handshake):
         raise LinkError(f"expected a Handshake, found {type(message).__name__}")
+    if not message.has_valid_types():
+        raise LinkError("a field of the handshake has the wrong type")
     if message.version != _wire.MAX_VERSION:
         loguru.logger.bind(peer=message.node_id).warning("unknown protocol version of a peer")
         raise LinkError(f"protocol version {message.version} is unknown")
--- a/src/daisyfall/platform/_documents.py
+++ b/src/daisyfall/platform/_documents.py
@@ -26,10 +26,12 @@
     """Decode the operator's configuration; raise `DocumentError`."""
     body = _load(document)
     limits = body.get("Limits") or {}
+    if not isinstance(limits, dict):
+        raise DocumentError(f"Limits is {limits!r}, expected an object")
     return _routes.Configuration(
         version=_integer(body, "Version"),
         routes=tuple(_decode_route(row) for row in _list(body, "Routes")),
-        body_limit_bytes=int(limits.get("MaxBodyBytes") or DEFAULT_BODY_LIMIT_BYTES),
+        body_limit_bytes=_integer(limits, "MaxBodyBytes", 0) or DEFAULT_BODY_LIMIT_BYTES,
     )
 
 
@@ -169,5 +171,5 @@
         try:
             body = json.loads(value)
             return NodeRow(str(body["role"]), str(body["address"]))
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, RecursionError):
             return None
--- a/src/daisyfall/platform/_runner.py
+++ b/src/daisyfall/platform/_runner.py
@@ -102,7 +102,7 @@
                 return reply.status, await _read_object(reply)
         except aiohttp.ClientConnectorError:
             return _leased_runner.CallOutcome.UNREACHABLE, {}
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError, RecursionError) as error:
             log = loguru.logger.bind(path=path, error=type(error).__name__)
             log.debug("the runner did not answer")
             return _leased_runner.CallOutcome.UNANSWERED, {}
@@ -154,12 +154,17 @@
             clock_ms=_decode_clock(reply),
             born_ms=_check_integer(reply.get("born", 0)),
             running=tuple(
-                _leased_runner.RunProgress(_from_platform_task(row[0]), row[1], float(row[3]))
+                _leased_runner.RunProgress(
+                    _from_platform_task(row[0]), _check_integer(row[1]), float(row[3])
+                )
                 for row in reply["Running"]
             ),
             ended=tuple(
                 _leased_runner.EndedRun(
-                    row[0], _from_platform_task(row[1]), row[2], _RUN_OUTCOME_BY_NAME[row[3]]
+                    _check_integer(row[0]),
+                    _from_platform_task(row[1]),
+                    _check_integer(row[2]),
+                    _RUN_OUTCOME_BY_NAME[row[3]],
                 )
                 for row in reply["Finished"]
             ),
--- a/src/daisyfall/platform/_runner_api.py
+++ b/src/daisyfall/platform/_runner_api.py
@@ -18,7 +18,7 @@
         runner_id = request.match_info["id"]
         try:
             body = json.loads(await request.read())
-        except ValueError:
+        except (ValueError, RecursionError):
             body = None
         heartbeat = _runner.decode_heartbeat(runner_id, body)
         if heartbeat is None:
--- a/src/daisyfall/platform/_store.py
+++ b/src/daisyfall/platform/_store.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import binascii
 import random
 from collections.abc import Callable
 
@@ -88,6 +87,12 @@
                 await self._back_off(f"watch {table}", error, attempt)
                 if error.reason == str(GONE_STATUS):
                     version = None
+            except Exception as error:
+                # The watch has to go on, or the process would never see another change.
+                loguru.logger.opt(exception=error).bind(table=table).error("rows not applied")
+                attempt += 1
+                await self._back_off(f"watch {table}", StoreError("unexpected"), attempt)
+                version = None
 
     async def _write_transaction(self, transaction: dict) -> None:
         attempt = 0
@@ -137,7 +142,7 @@
             raise StoreError("timeout") from error
         except (aiohttp.ClientError, OSError) as error:
             raise StoreError("connection") from error
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise StoreError("unreadable") from error
         if not isinstance(body, dict):
             raise StoreError("unreadable")
@@ -157,10 +162,13 @@
         raise StoreError("unreadable")
     try:
         return [_decode_row(row) for row in rows]
-    except (KeyError, TypeError, binascii.Error) as error:
+    except (KeyError, TypeError, AttributeError, ValueError) as error:
         raise StoreError("unreadable") from error
 
 
 def _decode_row(row: dict) -> Row:
     value = None if row.get("Deleted") else base64.b64decode(row["Value"])
-    return Row(row["Key"], value, row["VersionNumber"])
+    key, version = row["Key"], row["VersionNumber"]
+    if not isinstance(key, str) or not isinstance(version, int):
+        raise TypeError(f"key {key!r} or version {version!r} has the wrong type")
+    return Row(key, value, version)
--- a/src/daisyfall/policy/_election.py
+++ b/src/daisyfall/policy/_election.py
@@ -49,5 +49,13 @@
     return min(eligible, key=_sort_key).id
 
 
+def rank(candidates: list[Candidate], own_id: str) -> int:
+    """Return how many available candidates rank above the one with this id."""
+    own = next(candidate for candidate in candidates if candidate.id == own_id)
+    return sum(
+        candidate.is_available and _sort_key(candidate) < _sort_key(own) for candidate in candidates
+    )
+
+
 def _sort_key(candidate: Candidate) -> tuple:
     return (-round(candidate.cores, 2), candidate.started_ms, candidate.id)
--- /dev/null
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -0,0 +1,206 @@
+"""Runners of one pool, ordered for the choice of a runner.
+
+Each task goes to the runner with the largest free share of its CPU among those that are not
+slow, so that tasks don't queue at one runner while another one is idle.
+
+The order is kept up to date at each change of a runner, so that a choice examines a few runners
+whatever the size of the pool: it answers many short tasks on hundreds of runners, most of which
+are full while load is at its worst.
+"""
+
+import heapq
+
+import sortedcontainers
+
+from daisyfall.policy import _runner_capacity, _runner_health
+
+# A runner this slow gets no task while others of the pool are faster, even if those are full.
+EXCLUSION_SLOWNESS = 3.0
+# Slowness is compared in steps of this size, so that noise doesn't outweigh free capacity.
+SLOWNESS_STEP = 0.5
+_EXCLUSION_STEP = int((EXCLUSION_SLOWNESS - 1.0) / SLOWNESS_STEP)
+
+
+class PoolRunners:
+    """The runners of one pool; `examined` counts the runners that choices have looked at.
+
+    `refresh` has to be called after each change of a runner's capacity, state or health.
+    """
+
+    def __init__(self) -> None:
+        self.runner_by_id: dict[str, _runner_capacity.RunnerCapacity] = {}
+        self.healthy_cpu = 0
+        self.examined = 0
+        # Healthy available runners as (slowness step, -free share, id) and as (free CPU, id).
+        self._by_preference = sortedcontainers.SortedList()
+        self._by_free_cpu = sortedcontainers.SortedList()
+        self._keys_by_id: dict[str, tuple[tuple, tuple, int]] = {}
+        # Available runners that are ejected, or whose probe is still running.
+        self._unhealthy_by_id: dict[str, _runner_capacity.RunnerCapacity] = {}
+        self._ejected_ids: set[str] = set()
+
+    def __len__(self) -> int:
+        return len(self.runner_by_id)
+
+    @property
+    def ejected(self) -> int:
+        """Return how many runners are not healthy."""
+        return len(self._ejected_ids)
+
+    def add(self, runner: _runner_capacity.RunnerCapacity) -> None:
+        """Add a runner."""
+        self.runner_by_id[runner.id] = runner
+        self.refresh(runner)
+
+    def remove(self, runner: _runner_capacity.RunnerCapacity) -> None:
+        """Remove a runner."""
+        del self.runner_by_id[runner.id]
+        self._forget(runner.id)
+
+    def refresh(self, runner: _runner_capacity.RunnerCapacity) -> None:
+        """Put a runner that has changed in its place in the order."""
+        self._forget(runner.id)
+        is_healthy = runner.health.state is _runner_health.State.HEALTHY
+        if not is_healthy:
+            self._ejected_ids.add(runner.id)
+        if not runner.is_available:
+            return
+        if not is_healthy:
+            self._unhealthy_by_id[runner.id] = runner
+            return
+        preference = _preference(runner)
+        free = (runner.free_cpu, runner.id)
+        self._by_preference.add(preference)
+        self._by_free_cpu.add(free)
+        self._keys_by_id[runner.id] = (preference, free, runner.cpu)
+        self.healthy_cpu += runner.cpu
+
+    def max_free_cpu(self, now: float) -> int:
+        """Return the most CPU that a runner which accepts tasks has free, -1 without any.
+
+        A runner that is excluded for its slowness counts, so this is an upper bound.
+        """
+        most = self._by_free_cpu[-1][0] if self._by_free_cpu else -1
+        for runner in self._unhealthy_by_id.values():
+            if runner.health.accepts_tasks(now):
+                most = max(most, runner.free_cpu)
+        return most
+
+    def preferred(self, now: float):
+        """Yield the runners that accept tasks, the preferred ones first."""
+        probed = sorted(
+            _preference(runner)
+            for runner in self._unhealthy_by_id.values()
+            if runner.health.accepts_tasks(now)
+        )
+        order = heapq.merge(self._by_preference, probed) if probed else self._by_preference
+        has_fast = None
+        for step, _, runner_id in order:
+            if has_fast is None:
+                has_fast = step < _EXCLUSION_STEP
+            if has_fast and step >= _EXCLUSION_STEP:
+                return
+            yield self.runner_by_id[runner_id]
+
+    def is_excluded(self, runner: _runner_capacity.RunnerCapacity) -> bool:
+        """Return whether a runner is left out because it is slow and others are faster."""
+        if _slowness_step(runner) < _EXCLUSION_STEP:
+            return False
+        fastest = self._by_preference[0][0] if self._by_preference else _EXCLUSION_STEP
+        return fastest < _EXCLUSION_STEP or any(
+            _slowness_step(other) < _EXCLUSION_STEP for other in self._unhealthy_by_id.values()
+        )
+
+    def _forget(self, runner_id: str) -> None:
+        self._ejected_ids.discard(runner_id)
+        self._unhealthy_by_id.pop(runner_id, None)
+        keys = self._keys_by_id.pop(runner_id, None)
+        if keys is not None:
+            preference, free, cpu = keys
+            self._by_preference.remove(preference)
+            self._by_free_cpu.remove(free)
+            self.healthy_cpu -= cpu
+
+
+class Candidates:
+    """The runners that may get a task at one moment; `max_free_cpu` is the most that one has free.
+
+    With `only`, tasks are placed on that runner of the pool or not at all.
+    """
+
+    def __init__(
+        self, pool: PoolRunners, now: float, only: _runner_capacity.RunnerCapacity | None = None
+    ) -> None:
+        self._pool = pool
+        self._now = now
+        self._only = only
+        self._update_max_free_cpu()
+
+    def choose(self, demand: _runner_capacity.Demand) -> _runner_capacity.RunnerCapacity | None:
+        """Return the runner for a task, None if it has to wait."""
+        if demand.cpu > self.max_free_cpu:
+            return None
+        avoids = bool(demand.avoid) and self._has_alternative(demand)
+        far = None
+        for runner in self._runners():
+            self._pool.examined += 1
+            if (
+                not runner.fits(demand)
+                or (demand.label and demand.label not in runner.labels)
+                or (avoids and runner.id in demand.avoid)
+                or _is_at_step_limit(runner, demand)
+            ):
+                continue
+            if not demand.preferred_rack or demand.preferred_rack in runner.labels:
+                return runner
+            far = far or runner
+        return far
+
+    def allocate(
+        self, runner: _runner_capacity.RunnerCapacity, demand: _runner_capacity.Demand
+    ) -> None:
+        """Allocate the resources of a task on the runner that was chosen for it."""
+        runner.allocate(demand, self._now)
+        self._pool.refresh(runner)
+        self._update_max_free_cpu()
+
+    def _runners(self):
+        if self._only is None:
+            return self._pool.preferred(self._now)
+        return [self._only] if self.max_free_cpu >= 0 else []
+
+    def _update_max_free_cpu(self) -> None:
+        if self._only is None:
+            self.max_free_cpu = self._pool.max_free_cpu(self._now)
+            return
+        is_usable = (
+            self._only.is_available
+            and self._only.health.accepts_tasks(self._now)
+            and not self._pool.is_excluded(self._only)
+        )
+        self.max_free_cpu = self._only.free_cpu if is_usable else -1
+
+    def _has_alternative(self, demand: _runner_capacity.Demand) -> bool:
+        """Return whether a runner that the task doesn't avoid could ever run it."""
+        return any(
+            runner.id not in demand.avoid and runner.is_available and runner.fits_when_empty(demand)
+            for runner in self._pool.runner_by_id.values()
+        )
+
+
+def _is_at_step_limit(
+    runner: _runner_capacity.RunnerCapacity, demand: _runner_capacity.Demand
+) -> bool:
+    if not demand.max_per_runner:
+        return False
+    step = demand.task.rpartition(".")[0]
+    siblings = sum(task.rpartition(".")[0] == step for task in runner.allocation_by_task)
+    return siblings >= demand.max_per_runner
+
+
+def _preference(runner: _runner_capacity.RunnerCapacity) -> tuple[int, float, str]:
+    return (_slowness_step(runner), -runner.free_cpu / max(runner.cpu, 1), runner.id)
+
+
+def _slowness_step(runner: _runner_capacity.RunnerCapacity) -> int:
+    return int((max(1.0, runner.health.slowness) - 1.0) / SLOWNESS_STEP)
--- a/src/daisyfall/policy/_runner_capacity.py
+++ b/src/daisyfall/policy/_runner_capacity.py
@@ -1,10 +1,4 @@
-"""Capacity of the runners of a pool, as the scheduling entry knows it, and the choice of a runner.
-
-Each task goes to the runner with the largest free share of its CPU among those that are not
-slow, so that tasks don't queue at one runner while another one is idle.
-"""
-
-from collections.abc import Iterable
+"""Capacity of one runner, as the scheduling entry knows it."""
 
 import attrs
 
@@ -12,10 +6,6 @@
 
 # A placement that the runner's agent has not reported by then is released.
 CONFIRMATION_TIMEOUT_S = 0.4
-# A runner this slow gets no task while others of the pool are faster, even if those are full.
-EXCLUSION_SLOWNESS = 3.0
-# Slowness is compared in steps of this size, so that noise doesn't outweigh free capacity.
-SLOWNESS_STEP = 0.5
 
 
 @attrs.frozen
@@ -123,6 +113,11 @@
         self.has_report = True
         self.update_free()
 
+    @property
+    def is_available(self) -> bool:
+        """Return whether the runner accepts tasks and its allocations are known."""
+        return self.is_open and self.has_report
+
     def fits(self, demand: Demand) -> bool:
         """Return whether the task fits into the free capacity."""
         return (
@@ -139,78 +134,3 @@
             and self.accelerators >= demand.accelerators
             and (not demand.label or demand.label in self.labels)
         )
-
-
-class Candidates:
-    """The runners that may get a task at one moment; `max_free_cpu` is the most that one has free.
-
-    Keeps placing cheap while a large pool is full: a task that fits nowhere is usually detected
-    by one comparison, and what is the same for all tasks of a round is computed once. With
-    `only`, tasks are placed on that runner of the pool or not at all.
-    """
-
-    def __init__(
-        self, runners: Iterable[RunnerCapacity], now: float, only: RunnerCapacity | None = None
-    ) -> None:
-        self._now = now
-        self._available = [runner for runner in runners if runner.is_open and runner.has_report]
-        fast = [runner for runner in self._available if runner.health.slowness < EXCLUSION_SLOWNESS]
-        self._eligible = [
-            (_slowness_step(runner), runner)
-            for runner in fast or self._available
-            if only in (None, runner) and runner.health.accepts_tasks(now)
-        ]
-        self._update_max_free_cpu()
-
-    def choose(self, demand: Demand) -> RunnerCapacity | None:
-        """Return the runner for a task, None if it has to wait."""
-        if demand.cpu > self.max_free_cpu:
-            return None
-        avoids = demand.avoid and self._has_alternative(demand)
-        best, best_cost = None, None
-        for step, runner in self._eligible:
-            if (
-                not runner.fits(demand)
-                or (demand.label and demand.label not in runner.labels)
-                or (avoids and runner.id in demand.avoid)
-                or _is_at_step_limit(runner, demand)
-            ):
-                continue
-            is_far = demand.preferred_rack and demand.preferred_rack not in runner.labels
-            cost = (bool(is_far), step, -runner.free_cpu / max(runner.cpu, 1))
-            if best_cost is None or cost < best_cost:
-                best, best_cost = runner, cost
-        return best
-
-    def allocate(self, runner: RunnerCapacity, demand: Demand) -> None:
-        """Allocate the resources of a task on the runner that was chosen for it."""
-        had_max_free_cpu = runner.free_cpu == self.max_free_cpu
-        runner.allocate(demand, self._now)
-        if not runner.health.accepts_tasks(self._now):
-            self._eligible = [
-                candidate for candidate in self._eligible if candidate[1] is not runner
-            ]
-        if had_max_free_cpu:
-            self._update_max_free_cpu()
-
-    def _update_max_free_cpu(self) -> None:
-        self.max_free_cpu = max((runner.free_cpu for _, runner in self._eligible), default=-1)
-
-    def _has_alternative(self, demand: Demand) -> bool:
-        """Return whether a runner that the task doesn't avoid could ever run it."""
-        return any(
-            runner.id not in demand.avoid and runner.fits_when_empty(demand)
-            for runner in self._available
-        )
-
-
-def _is_at_step_limit(runner: RunnerCapacity, demand: Demand) -> bool:
-    if not demand.max_per_runner:
-        return False
-    step = demand.task.rpartition(".")[0]
-    siblings = sum(task.rpartition(".")[0] == step for task in runner.allocation_by_task)
-    return siblings >= demand.max_per_runner
-
-
-def _slowness_step(runner: RunnerCapacity) -> int:
-    return int((max(1.0, runner.health.slowness) - 1.0) / SLOWNESS_STEP)
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from daisyfall.policy import _job_queue, _runner_capacity, _runner_health
+from daisyfall.policy import _job_queue, _pool_runners, _runner_capacity, _runner_health
 
 # Outcomes that agents report when a task's resources are released.
 DONE = "done"
@@ -47,7 +47,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self.runner_by_id: dict[str, _runner_capacity.RunnerCapacity] = {}
-        self._runners_by_pool: dict[str, list[_runner_capacity.RunnerCapacity]] = {}
+        self._runners_by_pool: dict[str, _pool_runners.PoolRunners] = {}
         self._queue_by_pool: dict[str, _job_queue.JobQueue] = {}
         self._batch_by_id: dict[str, _job_queue.TaskBatch] = {}
 
@@ -63,7 +63,7 @@
             if known is not None:
                 self._runners_by_pool[known.pool].remove(known)
             self.runner_by_id[runner.id] = runner
-            self._runners_by_pool.setdefault(runner.pool, []).append(runner)
+            self._runners(runner.pool).add(runner)
             return
         known.cpu, known.memory_mb, known.accelerators = (
             runner.cpu,
@@ -75,6 +75,7 @@
             known.incarnation = runner.incarnation
             known.health = _runner_health.RunnerHealth()
         known.update_free()
+        self._runners(known.pool).refresh(known)
 
     def mark_runner_unreachable(self, runner_id: str) -> None:
         """Place nothing on a runner until it reports again; its health is kept."""
@@ -82,6 +83,7 @@
         if runner is not None:
             runner.is_open = False
             runner.has_report = False
+            self._runners(runner.pool).refresh(runner)
 
     def sync_allocations(
         self, runner_id: str, allocation_by_task: dict[str, _runner_capacity.Allocation], now: float
@@ -90,6 +92,7 @@
         runner = self.runner_by_id.get(runner_id)
         if runner is not None:
             runner.replace(allocation_by_task, now)
+            self._runners(runner.pool).refresh(runner)
 
     def record_task_end(
         self, runner_id: str, task: str, job_id: str, outcome: str, now: float
@@ -107,6 +110,7 @@
         elif outcome in RUNNER_FAULTS:
             may_eject = self._may_eject(runner.pool)
             runner.health.record_fault(now, may_eject=may_eject)
+        self._runners(runner.pool).refresh(runner)
         if not len(self._queue(runner.pool)):
             return []
         return self._place(runner.pool, self._candidates(runner.pool, now, runner))
@@ -116,6 +120,7 @@
         runner = self.runner_by_id.get(runner_id)
         if runner is not None:
             runner.health.update_slowness(slowdown)
+            self._runners(runner.pool).refresh(runner)
 
     def submit(self, batch: _job_queue.TaskBatch, now: float) -> list[Placement | Refusal]:
         """Queue the tasks of a job; return the decisions that could be made at once."""
@@ -152,22 +157,13 @@
 
     def cores(self, pool: str) -> float:
         """Return the cores of the healthy runners that accept tasks."""
-        return sum(runner.cpu for runner in self._healthy(pool)) / 1000
+        return self._runners(pool).healthy_cpu / 1000
 
     def _queue(self, pool: str) -> _job_queue.JobQueue:
         return self._queue_by_pool.setdefault(pool, _job_queue.JobQueue())
 
-    def _runners(self, pool: str) -> list[_runner_capacity.RunnerCapacity]:
-        return self._runners_by_pool.get(pool, [])
-
-    def _healthy(self, pool: str) -> list[_runner_capacity.RunnerCapacity]:
-        return [
-            runner
-            for runner in self._runners(pool)
-            if runner.is_open
-            and runner.has_report
-            and runner.health.state is _runner_health.State.HEALTHY
-        ]
+    def _runners(self, pool: str) -> _pool_runners.PoolRunners:
+        return self._runners_by_pool.setdefault(pool, _pool_runners.PoolRunners())
 
     def _may_eject(self, pool: str) -> bool:
         """Return whether one more runner may be ejected.
@@ -175,18 +171,17 @@
         Failures on most runners at once indicate a fault of the tasks, not of the runners.
         """
         runners = self._runners(pool)
-        ejected = sum(runner.health.state is not _runner_health.State.HEALTHY for runner in runners)
-        return ejected < max(1, int(len(runners) * MAX_EJECTED_FRACTION))
+        return runners.ejected < max(1, int(len(runners) * MAX_EJECTED_FRACTION))
 
     def _candidates(
         self, pool: str, now: float, only: _runner_capacity.RunnerCapacity | None = None
-    ) -> _runner_capacity.Candidates:
-        return _runner_capacity.Candidates(self._runners(pool), now, only)
+    ) -> _pool_runners.Candidates:
+        return _pool_runners.Candidates(self._runners(pool), now, only)
 
     def _refuse_on_arrival(
-        self, batch: _job_queue.TaskBatch, candidates: _runner_capacity.Candidates, now: float
+        self, batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates, now: float
     ) -> Refusal | None:
-        runners = self._runners(batch.pool)
+        runners = self._runners(batch.pool).runner_by_id.values()
         if runners and not all(
             any(runner.fits_when_empty(demand) for runner in runners) for demand in batch.demands
         ):
@@ -206,7 +201,7 @@
         after_s = _job_queue.retry_after_s(work, self.cores(batch.pool), jitter)
         return Refusal(batch, reason, after_s)
 
-    def _place(self, pool: str, candidates: _runner_capacity.Candidates) -> list[Placement]:
+    def _place(self, pool: str, candidates: _pool_runners.Candidates) -> list[Placement]:
         queue = self._queue(pool)
         decisions = []
         for batch in queue.placeable(candidates):
@@ -236,7 +231,7 @@
 
 
 def _place_tasks(
-    batch: _job_queue.TaskBatch, candidates: _runner_capacity.Candidates
+    batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates
 ) -> dict[str, str]:
     """Place as many tasks of a batch as fit, the longest first; return runner ids by task."""
     runner_by_task: dict[str, str] = {}
--- a/src/daisyfall/process/_leadership.py
+++ b/src/daisyfall/process/_leadership.py
@@ -8,17 +8,27 @@
 
 # An entry that another one asked to place tasks keeps its runner state up to date for this time.
 KEEP_UPDATED_S = 2.0
-# Heartbeats to the entries that dialled this one; they replace a leader that sends nothing for
-# the timeout.
+# Heartbeats of the leader and of the entries that rank next after it to those that dialled them;
+# the others replace one that sends nothing for the timeout.
 LEADER_HEARTBEAT_INTERVAL_S = 0.1
 LEADER_TIMEOUT_S = 0.35
+# How many of the highest-ranked entries send frequent heartbeats, so that a leader that is lost
+# together with its successor is replaced as soon as one that is lost alone.
+FREQUENT_HEARTBEAT_RANKS = 3
+# A peer that is not the leader is lost after this many of the intervals that it declared.
+INTERVALS_PER_TIMEOUT = 3.5
 # Followers have a short timeout too: the link of a follower whose requests don't arrive is reset,
 # as the heartbeats that still reach it would keep it from choosing another leader.
 FOLLOWER_HEARTBEAT_INTERVAL_S = 0.15
 FOLLOWER_TIMEOUT_S = 0.45
-# The other entries that dialled this one only need a timeout so that their state is dropped.
+# The other entries only need a timeout so that their state is dropped.
 PEER_HEARTBEAT_INTERVAL_S = 0.5
 PEER_TIMEOUT_S = 1.5
+# The choice is repeated after this time even if nothing has changed, as candidates become stable.
+CHOICE_INTERVAL_S = 0.25
+# First revision of the messages whose senders declare the interval of their heartbeats, and
+# accept a longer one.
+DECLARED_INTERVAL_REVISION = 1
 
 
 @attrs.define(eq=False)
@@ -27,6 +37,7 @@
     is_available: bool
     waiting_by_route: dict[str, int]
     is_scheduling: bool
+    interval_s: float
 
 
 class Leadership:
@@ -42,37 +53,68 @@
         self._followers: set[str] = set()
         self._last_request_at = float("-inf")
         self._scheduling_since = float("inf")
+        self._rank = 0
+        self._next_choice_at = now
 
     def heard(self, peer_id: str, link: _link.Link, heartbeat: _pool_wire.PeerHeartbeat) -> None:
         """Record a heartbeat of another entry."""
+        previous = self._peer_by_id.get(peer_id)
+        if (
+            previous is None
+            or previous.link is not link
+            or previous.is_available != heartbeat.is_available
+            or previous.is_scheduling != heartbeat.is_scheduling
+        ):
+            self._next_choice_at = float("-inf")
         self._peer_by_id[peer_id] = _PeerState(
-            link, heartbeat.is_available, heartbeat.waiting_by_route, heartbeat.is_scheduling
+            link,
+            heartbeat.is_available,
+            heartbeat.waiting_by_route,
+            heartbeat.is_scheduling,
+            heartbeat.interval_ms / 1000,
         )
 
     def remove_peer(self, peer_id: str) -> None:
         """Remove an entry whose link has closed."""
         self._peer_by_id.pop(peer_id, None)
+        self._next_choice_at = float("-inf")
 
-    def set_follower(self, peer_id: str, *, is_follower: bool) -> None:
-        """Record whether an entry that dialled this one follows it as the leader."""
+    def set_follower(self, peer_id: str, *, is_follower: bool) -> bool:
+        """Record whether an entry that dialled this one follows it; return whether that is new."""
+        is_new = is_follower != (peer_id in self._followers)
         if is_follower:
             self._followers.add(peer_id)
         else:
             self._followers.discard(peer_id)
+        return is_new
 
     def heartbeat_timing_to(self, peer_id: str) -> _link.HeartbeatTiming:
         """Return the heartbeat timing of the link that this entry dialled to a peer."""
-        interval_s = (
-            FOLLOWER_HEARTBEAT_INTERVAL_S
-            if peer_id == self.leader_id
-            else PEER_HEARTBEAT_INTERVAL_S
+        if peer_id == self.leader_id:
+            return _link.HeartbeatTiming(FOLLOWER_HEARTBEAT_INTERVAL_S, LEADER_TIMEOUT_S)
+        peer = self._peer_by_id.get(peer_id)
+        timeout_s = INTERVALS_PER_TIMEOUT * peer.interval_s if peer else PEER_TIMEOUT_S
+        return _link.HeartbeatTiming(PEER_HEARTBEAT_INTERVAL_S, timeout_s)
+
+    def heartbeat_timing_from(self, peer_id: str, revision: int) -> _link.HeartbeatTiming:
+        """Return the heartbeat timing of the link that a peer dialled to this entry.
+
+        `revision` is that of the peer's messages.
+        """
+        is_follower = peer_id in self._followers
+        is_frequent = (
+            is_follower
+            or self._rank < FREQUENT_HEARTBEAT_RANKS
+            or revision < DECLARED_INTERVAL_REVISION
+        )
+        return _link.HeartbeatTiming(
+            LEADER_HEARTBEAT_INTERVAL_S if is_frequent else PEER_HEARTBEAT_INTERVAL_S,
+            FOLLOWER_TIMEOUT_S if is_follower else PEER_TIMEOUT_S,
         )
-        return _link.HeartbeatTiming(interval_s, LEADER_TIMEOUT_S)
 
-    def heartbeat_timing_from(self, peer_id: str) -> _link.HeartbeatTiming:
-        """Return the heartbeat timing of the link that a peer dialled to this entry."""
-        timeout_s = FOLLOWER_TIMEOUT_S if peer_id in self._followers else PEER_TIMEOUT_S
-        return _link.HeartbeatTiming(LEADER_HEARTBEAT_INTERVAL_S, timeout_s)
+    def is_choice_due(self, now: float) -> bool:
+        """Return whether the choice may have another result than the last one."""
+        return now >= self._next_choice_at
 
     def record_request(self, now: float) -> None:
         """Record a placement request of an entry that considers this one the leader."""
@@ -94,6 +136,7 @@
 
     def choose(self, now: float, links: dict[str, _link.Link], *, is_available: bool) -> bool:
         """Choose the leader; return whether it has changed."""
+        self._next_choice_at = now + CHOICE_INTERVAL_S
         candidates = [
             _election.Candidate(
                 self._own_id,
@@ -122,4 +165,5 @@
         is_stable = now - self._started_at >= _election.STABLE_AFTER_S
         chosen = _election.choose(candidates, previous_id if is_stable else "")
         self.leader_id = chosen or self._own_id
+        self._rank = _election.rank(candidates, self._own_id)
         return self.leader_id != previous_id
--- a/src/daisyfall/process/_pool_agent.py
+++ b/src/daisyfall/process/_pool_agent.py
@@ -6,31 +6,35 @@
 import loguru
 
 from daisyfall import _clock, _pool_wire
-from daisyfall.connection import _link
+from daisyfall.connection import _link, _message_age
 from daisyfall.process import (
     _leased_runner,
     _lifecycle,
+    _link_timing,
     _pause_detector,
     _pool_metrics,
     _pool_settings,
     _runner_session,
+    _ticker,
 )
 from daisyfall.request import _runs
 
 TICK_S = 0.05
-# The leader gets several heartbeats within its timeout; other entries get fewer, as they only
-# have to notice that the connection to the agent is lost.
-HEARTBEATS_PER_TIMEOUT = 3
-FOLLOWER_HEARTBEAT_INTERVAL_S = 0.5
+# Without tasks; short enough for the pause detector.
+IDLE_TICK_S = 0.1
 ALLOCATION_REPORT_INTERVAL_S = 0.3
 
 
 @attrs.define(eq=False)
 class EntrySession:
-    """Session of an entry incarnation; after a lost link it lasts for the heartbeat timeout."""
+    """Session of an entry incarnation; after a lost link it lasts for the heartbeat timeout.
+
+    `age` measures how long the entry's messages were held up.
+    """
 
     entry: str
     link: _link.Link
+    age: _message_age.MessageAge
     is_scheduling: bool = False
     reported_at: float = 0.0
 
@@ -68,9 +72,16 @@
             lambda: settings.handshake(_pool_wire.ROLE_AGENT, []),
             settings.address,
             settings.port,
+            self.metrics.count_link_error,
         )
         async with server:
-            ticker = asyncio.create_task(self._tick_forever())
+            ticker = asyncio.create_task(
+                _ticker.run_forever(
+                    self._tick,
+                    lambda: TICK_S if self._runs.is_busy else IDLE_TICK_S,
+                    lambda: self.metrics.count_internal_error("tick"),
+                )
+            )
             loguru.logger.bind(port=settings.port).info("agent started")
             await stop.wait()
             await self._drain()
@@ -88,13 +99,9 @@
         await asyncio.sleep(2 * self.settings.bounds.stop_timeout_s)
         self._lifecycle.finish_draining()
 
-    async def _tick_forever(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            self._pause_detector.check()
-            self._tick(_clock.monotonic())
-
-    def _tick(self, now: float) -> None:
+    def _tick(self) -> None:
+        self._pause_detector.check()
+        now = _clock.monotonic()
         self._expire_sessions(now)
         self._report_ends(self._runs.pop_expired(now))
         self._runner.send_stops(now)
@@ -113,48 +120,53 @@
     async def _serve_entry(self, link: _link.Link) -> None:
         session = self._open_session(link)
         try:
-            await link.serve(
-                lambda message: self._handle(session, message),
-                _pool_wire.Heartbeat,
-                lambda: self._heartbeat_timing(session),
-            )
+            await link.serve(lambda message: self._handle(session, message), _pool_wire.Heartbeat)
         finally:
             loguru.logger.bind(entry=session.entry, reason=link.close_reason).info(
                 "entry disconnected"
             )
 
-    def _heartbeat_timing(self, session: EntrySession) -> _link.HeartbeatTiming:
-        heartbeat_timeout_s = self.settings.bounds.heartbeat_timeout_s
-        interval_s = (
-            heartbeat_timeout_s / HEARTBEATS_PER_TIMEOUT
-            if session.is_scheduling
-            else FOLLOWER_HEARTBEAT_INTERVAL_S
+    def _update_timing(self, session: EntrySession, *, has_tasks: bool) -> None:
+        session.link.set_timing(
+            _link_timing.to_entry(
+                self.settings.bounds,
+                is_scheduling=session.is_scheduling,
+                has_tasks=has_tasks,
+                revision=session.link.peer.revision,
+            )
         )
-        return _link.HeartbeatTiming(interval_s, heartbeat_timeout_s)
 
     def _open_session(self, link: _link.Link) -> EntrySession:
         self._pause_detector.check()
         entry = f"{link.peer.node_id}/{link.peer.incarnation}"
+        age = _message_age.MessageAge()
         for previous in list(self._session_by_entry.values()):
             if previous.entry == entry:
                 previous.link.abort("the entry opened a new link")
+                age = previous.age
             elif previous.entry.startswith(f"{link.peer.node_id}/"):
                 previous.link.abort("the entry was restarted")
                 self._drop_session(previous)
-        session = self._session_by_entry[entry] = EntrySession(entry, link)
+        session = self._session_by_entry[entry] = EntrySession(entry, link, age)
         present, ends = self._runs.resumed(entry, link.peer.tasks, _clock.monotonic())
         for ended in ends:
             self._send_end(session, ended)
+        self._update_timing(session, has_tasks=bool(present))
         link.send(_pool_wire.Resumed(present))
         link.send(self._state())
         loguru.logger.bind(entry=entry, tasks=len(present)).info("entry connected")
         return session
 
     def _expire_sessions(self, now: float) -> None:
+        """Drop the sessions of lost entries; relax the timing of those whose tasks have ended."""
+        timeout_s = self.settings.bounds.heartbeat_timeout_s
+        busy_entries = self._runs.entries_with_tasks()
         for session in list(self._session_by_entry.values()):
-            session.link.expire(now, self.settings.bounds.heartbeat_timeout_s)
-            if now - session.link.last_received_at > self.settings.bounds.heartbeat_timeout_s:
+            link = session.link
+            if link.expire(now) or (link.is_closed and now - link.last_received_at > timeout_s):
                 self._drop_session(session)
+            else:
+                self._update_timing(session, has_tasks=session.entry in busy_entries)
 
     def _drop_session(self, session: EntrySession) -> None:
         self._session_by_entry.pop(session.entry, None)
@@ -171,20 +183,31 @@
         match message:
             case _pool_wire.RunTask():
                 self._accept(session, message)
+                self._update_timing(session, has_tasks=True)
             case _pool_wire.StopTask():
                 self._stop(session, message)
             case _pool_wire.Heartbeat():
-                if message.is_scheduling and not session.is_scheduling:
-                    session.reported_at = 0.0
-                session.is_scheduling = message.is_scheduling
-                if message.is_scheduling:
-                    self._report_allocations(_clock.monotonic())
+                self._handle_heartbeat(session, message)
             case _:
                 loguru.logger.bind(kind=type(message).__name__).warning("unexpected message")
 
+    def _handle_heartbeat(self, session: EntrySession, message: _pool_wire.Heartbeat) -> None:
+        now = _clock.monotonic()
+        session.age.measure_s(message.sent_ms, now)
+        if message.is_scheduling != session.is_scheduling:
+            session.is_scheduling = message.is_scheduling
+            session.reported_at = 0.0
+            has_tasks = session.entry in self._runs.entries_with_tasks()
+            self._update_timing(session, has_tasks=has_tasks)
+        if message.is_scheduling:
+            self._report_allocations(now)
+
     def _accept(self, session: EntrySession, order: _pool_wire.RunTask) -> None:
         now = _clock.monotonic()
         reason = self._unavailable_reason(now)
+        if session.age.measure_s(order.sent_ms, now) > self.settings.bounds.heartbeat_timeout_s:
+            # Its entry was paused or cut off meanwhile, and the caller may have sent the job again.
+            reason = _runs.DELAYED
         if reason:
             self._report_ends([_runs.RunEnd(order, session.entry, reason, 0.0)])
             return
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -12,21 +12,20 @@
 from daisyfall.policy import _job_queue
 from daisyfall.process import (
     _leadership,
+    _link_timing,
     _pause_detector,
     _placement_service,
     _pool_metrics,
     _pool_peers,
     _pool_settings,
+    _ticker,
 )
 from daisyfall.request import _pool_job_manager, _pool_jobs
 from daisyfall.version import _routes
 
 TICK_S = 0.04
-# More than one, since an agent stops the tasks of an entry whose heartbeats time out.
-AGENT_HEARTBEATS_PER_TIMEOUT = 2
-# Used by entries other than the leader, as agents send them fewer heartbeats. The leader has the
-# shorter timeout of the bounds, so that it places no tasks at an agent that is lost.
-AGENT_TIMEOUT_S = 1.5
+# How often the heartbeat timing of all links is brought up to date.
+TIMING_INTERVAL_S = 0.2
 # Requests read this soon after a pause are delayed by this time: callers may have disconnected.
 AFTER_PAUSE_S = 0.15
 DRAIN_POLL_S = 0.05
@@ -53,6 +52,7 @@
             withdraw=lambda job_id: self._withdraw(job_id, self._leadership.leader_id),
             link_to=self._link_to,
             describe=self._describe,
+            on_dispatch=self._expect_agent,
         )
         self._placement = _placement_service.PlacementService(rng, self._deliver)
         self._leadership = _leadership.Leadership(
@@ -60,6 +60,7 @@
         )
         self._incoming_by_id: dict[str, _link.Link] = {}
         self._is_draining = False
+        self._timing_updated_at = float("-inf")
         self._pause_detector = _pause_detector.PauseDetector(self._reset_links)
         self.peers = _pool_peers.PoolPeers(settings.id, self)
 
@@ -75,9 +76,16 @@
             lambda: settings.handshake(_pool_wire.ROLE_ENTRY, []),
             settings.address,
             settings.port,
+            self.count_link_error,
         )
         async with server:
-            ticker = asyncio.create_task(self._tick_forever())
+            ticker = asyncio.create_task(
+                _ticker.run_forever(
+                    self._tick,
+                    lambda: TICK_S,
+                    lambda: self.metrics.count_internal_error("tick"),
+                )
+            )
             loguru.logger.bind(port=settings.port).info("entry started")
             await stop.wait()
             await self._drain(close_callers)
@@ -115,17 +123,17 @@
         """Return whether the process is stopping."""
         return self._is_draining
 
-    async def _tick_forever(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            self._pause_detector.check()
-            self._tick(_clock.monotonic())
-
-    def _tick(self, now: float) -> None:
+    def _tick(self) -> None:
+        self._pause_detector.check()
+        now = _clock.monotonic()
         self.peers.expire(now)
-        for peer_id, link in list(self._incoming_by_id.items()):
-            link.expire(now, self._leadership.heartbeat_timing_from(peer_id).heartbeat_timeout_s)
-        self._update_leader(now)
+        for link in list(self._incoming_by_id.values()):
+            link.expire(now)
+        if self._leadership.is_choice_due(now):
+            self._update_leader(now)
+        if now - self._timing_updated_at >= TIMING_INTERVAL_S:
+            self._timing_updated_at = now
+            self._update_timing(now)
         self._placement.advance()
         self._jobs.expire(now)
         self.metrics.set_state(
@@ -248,6 +256,7 @@
         for job_id in self._jobs.waiting_job_ids():
             self._withdraw(job_id, previous_id)
         self._jobs.request_placement_again(now)
+        self._update_timing(now)
         self._broadcast_heartbeat()
 
     # Links that this entry dialled.
@@ -261,8 +270,10 @@
 
     def on_opened(self, node: _pool_peers.Node, link: _link.Link) -> None:
         """Handle a new link."""
+        self._set_timing(node, link, _clock.monotonic())
         if node.role == _pool_wire.ROLE_AGENT:
             self._jobs.mark_unreconciled(node.id)
+            link.send(self._agent_heartbeat())
             return
         self._send_shared_state(link)
 
@@ -286,6 +297,7 @@
                 self._jobs.handle_placement_reply(message)
             case _pool_wire.PeerHeartbeat():
                 self._leadership.heard(node.id, link, message)
+                link.set_timing(self._leadership.heartbeat_timing_to(node.id))
             case _pool_wire.Heartbeat():
                 pass
             case _:
@@ -309,12 +321,12 @@
         if previous is not None:
             previous.abort("the entry opened a new link")
         self._incoming_by_id[peer_id] = link
+        self._set_incoming_timing(peer_id, link)
         self._send_shared_state(link)
         try:
             await link.serve(
                 lambda message: self._handle_incoming(peer_id, link, message),
-                lambda: self._peer_heartbeat(peer_id),
-                lambda: self._leadership.heartbeat_timing_from(peer_id),
+                lambda: self._incoming_heartbeat(peer_id, link),
             )
         finally:
             log = loguru.logger.bind(node=peer_id, reason=link.close_reason)
@@ -337,7 +349,8 @@
             case _pool_wire.CancelJob():
                 self._jobs.cancel(message.job_id)
             case _pool_wire.PeerHeartbeat():
-                self._leadership.set_follower(peer_id, is_follower=message.follows_receiver)
+                if self._leadership.set_follower(peer_id, is_follower=message.follows_receiver):
+                    self._set_incoming_timing(peer_id, link)
             case _:
                 self._apply_shared_state(message)
 
@@ -355,7 +368,11 @@
             case _pool_wire.MembershipUpdate():
                 self.peers.add_nodes([_pool_peers.Node(*row) for row in message.nodes])
             case _pool_wire.ConfigurationUpdate():
-                self.apply_configuration(message.document)
+                try:
+                    self.apply_configuration(message.document)
+                except ValueError as error:
+                    self.metrics.count_internal_error("configuration")
+                    loguru.logger.bind(reason=str(error)).error("invalid configuration of a peer")
             case _:
                 loguru.logger.bind(kind=type(message).__name__).warning("unexpected message")
 
@@ -366,23 +383,61 @@
         is_agent = node.role == _pool_wire.ROLE_AGENT
         return self._agent_heartbeat() if is_agent else self._peer_heartbeat(node.id)
 
-    def heartbeat_timing(self, node: _pool_peers.Node) -> _link.HeartbeatTiming:
-        """Return the interval of heartbeats to a node, and the timeout for those from it."""
+    def count_link_error(self, reason: str) -> None:
+        """Count a rejected handshake or message of a peer."""
+        self.metrics.count_link_error(reason)
+
+    def _update_timing(self, now: float) -> None:
+        """Bring the heartbeat timing of all links up to date."""
+        for node_id, link in self.peers.link_by_id.items():
+            self._set_timing(self.peers.node_by_id[node_id], link, now)
+        for peer_id, link in self._incoming_by_id.items():
+            self._set_incoming_timing(peer_id, link)
+
+    def _set_timing(self, node: _pool_peers.Node, link: _link.Link, now: float) -> None:
         if node.role == _pool_wire.ROLE_ENTRY:
-            return self._leadership.heartbeat_timing_to(node.id)
-        timeout_s = self.settings.bounds.heartbeat_timeout_s
-        is_leader_known = self._leadership.has_been_scheduling_for(timeout_s, _clock.monotonic())
-        heartbeat_timeout_s = timeout_s if is_leader_known else AGENT_TIMEOUT_S
-        return _link.HeartbeatTiming(timeout_s / AGENT_HEARTBEATS_PER_TIMEOUT, heartbeat_timeout_s)
+            link.set_timing(self._leadership.heartbeat_timing_to(node.id))
+            return
+        bounds = self.settings.bounds
+        link.set_timing(
+            _link_timing.to_agent(
+                bounds,
+                is_scheduling=self._leadership.has_been_scheduling_for(
+                    bounds.heartbeat_timeout_s, now
+                ),
+                has_tasks=self._jobs.has_tasks_at(node.id) or self._leadership.is_scheduling(now),
+                revision=link.peer.revision,
+            )
+        )
+
+    def _set_incoming_timing(self, peer_id: str, link: _link.Link) -> None:
+        """Set the timing of a link that a peer dialled; tell the peer if the interval changes."""
+        timing = self._leadership.heartbeat_timing_from(peer_id, link.peer.revision)
+        is_changed = timing.interval_s != link.timing.interval_s
+        link.set_timing(timing)
+        if is_changed:
+            link.send(self._incoming_heartbeat(peer_id, link))
+
+    def _expect_agent(self, agent_id: str) -> None:
+        """Shorten the heartbeat timeout of an agent that is about to get a task."""
+        link = self.peers.link_by_id.get(agent_id)
+        if link is not None:
+            self._set_timing(self.peers.node_by_id[agent_id], link, _clock.monotonic())
 
     def _agent_heartbeat(self) -> _pool_wire.Heartbeat:
-        return _pool_wire.Heartbeat(self._leadership.is_scheduling(_clock.monotonic()))
+        now = _clock.monotonic()
+        return _pool_wire.Heartbeat(self._leadership.is_scheduling(now), round(now * 1000))
 
     def _broadcast_heartbeat(self) -> None:
         """Announce the leader that this entry now follows to all nodes immediately."""
         for node_id, link in self.peers.link_by_id.items():
             link.send(self.heartbeat(self.peers.node_by_id[node_id]))
 
+    def _incoming_heartbeat(self, peer_id: str, link: _link.Link) -> _pool_wire.PeerHeartbeat:
+        """Return the heartbeat for a link that a peer dialled; it declares the interval."""
+        interval_ms = round(link.timing.interval_s * 1000)
+        return attrs.evolve(self._peer_heartbeat(peer_id), interval_ms=interval_ms)
+
     def _peer_heartbeat(self, peer_id: str) -> _pool_wire.PeerHeartbeat:
         return _pool_wire.PeerHeartbeat(
             not self._is_draining and self._placement.has_available_runner(),
--- a/src/daisyfall/process/_pool_peers.py
+++ b/src/daisyfall/process/_pool_peers.py
@@ -30,7 +30,7 @@
         """Return the first message for a node."""
 
     def on_opened(self, node: Node, link: _link.Link) -> None:
-        """Handle a new link."""
+        """Handle a new link, and set its heartbeat timing."""
 
     def on_message(self, node: Node, link: _link.Link, message) -> None:
         """Handle a message."""
@@ -41,8 +41,8 @@
     def heartbeat(self, node: Node):
         """Return the heartbeat for a node."""
 
-    def heartbeat_timing(self, node: Node) -> _link.HeartbeatTiming:
-        """Return the interval of heartbeats to a node, and the timeout for those from it."""
+    def count_link_error(self, reason: str) -> None:
+        """Count a rejected message."""
 
 
 class PoolPeers:
@@ -72,10 +72,8 @@
 
     def expire(self, now: float) -> None:
         """Reset links past their heartbeat timeout, whose own tasks may be blocked in a send."""
-        for node_id, link in list(self.link_by_id.items()):
-            link.expire(
-                now, self._handler.heartbeat_timing(self.node_by_id[node_id]).heartbeat_timeout_s
-            )
+        for link in list(self.link_by_id.values()):
+            link.expire(now)
 
     def abort_all(self, reason: str) -> None:
         """Reset all links; they are redialled."""
@@ -96,7 +94,9 @@
         backoff_s = INITIAL_BACKOFF_S
         while True:
             try:
-                socket, link = await _link.dial(node.address, self._handler.handshake(node))
+                socket, link = await _link.dial(
+                    node.address, self._handler.handshake(node), self._handler.count_link_error
+                )
             except _link.LinkError as error:
                 loguru.logger.bind(node=node.id, reason=str(error)).debug("dial failed")
                 await asyncio.sleep(backoff_s)
@@ -121,7 +121,6 @@
             await link.serve(
                 lambda message: self._handler.on_message(node, link, message),
                 lambda: self._handler.heartbeat(node),
-                lambda: self._handler.heartbeat_timing(node),
             )
         finally:
             link.abort("the dial task ended")
--- a/src/daisyfall/process/_pool_settings.py
+++ b/src/daisyfall/process/_pool_settings.py
@@ -37,6 +37,7 @@
             self.cores,
             self.started_ms,
             tasks,
+            _pool_wire.REVISION,
         )
 
 
--- a/src/daisyfall/process/_runner_session.py
+++ b/src/daisyfall/process/_runner_session.py
@@ -17,6 +17,8 @@
 RENEWAL_WAIT_MS = 100
 IDLE_RENEWAL_WAIT_MS = 300
 RENEWAL_RETRY_S = 0.01
+# Interval of calls to a runner that was restarted under its id, until it announces itself.
+RESTARTED_RETRY_S = 0.1
 # A call times out after this multiple of the mean latency, clamped to the range.
 TIMEOUT_FACTOR = 8.0
 TIMEOUT_RANGE_S = (0.05, 0.25)
@@ -277,11 +279,20 @@
             )
             if runner is not self._runner:
                 return
-            match snapshot:
-                case _leased_runner.RunSnapshot():
-                    self._apply_snapshot(runner, snapshot, requested_at)
-                case _leased_runner.RenewalFailed():
-                    await self._handle_failed_renewal(snapshot)
+            try:
+                match snapshot:
+                    case _leased_runner.RunSnapshot() if self._is_other_incarnation(snapshot):
+                        self._lose_incarnation(_clock.monotonic())
+                        await asyncio.sleep(RESTARTED_RETRY_S)
+                    case _leased_runner.RunSnapshot():
+                        self._apply_snapshot(runner, snapshot, requested_at)
+                    case _leased_runner.RenewalFailed():
+                        await self._handle_failed_renewal(snapshot)
+            except Exception as error:
+                # Without renewals all runs would end and the runner get no tasks for good.
+                loguru.logger.opt(exception=error).error("the lists of runs were not applied")
+                self._metrics.count_internal_error("runner")
+                await asyncio.sleep(RENEWAL_RETRY_S)
 
     def _apply_snapshot(
         self,
@@ -291,6 +302,8 @@
     ) -> None:
         now = _clock.monotonic()
         self._check_pause()
+        if self._is_other_incarnation(snapshot):
+            return
         self._sync_clock(snapshot.clock_ms)
         self._last_answer_at = now
         self._failed_renewals = 0
@@ -305,6 +318,24 @@
         self._on_availability_changed()
         self.start_queued()
 
+    def _is_other_incarnation(self, snapshot: _leased_runner.RunSnapshot) -> bool:
+        """Return whether a runner that was restarted under the same id has answered."""
+        born_ms = self.heartbeat.born_ms
+        return bool(born_ms and snapshot.born_ms and snapshot.born_ms != born_ms)
+
+    def _lose_incarnation(self, now: float) -> None:
+        """End all runs of an incarnation that is gone, until a heartbeat announces the next one.
+
+        The end numbers of the next one start anew, so those of the last may not be acknowledged
+        to it.
+        """
+        if self._is_connected:
+            loguru.logger.bind(runner=self.heartbeat.id).warning("runner was restarted")
+        self._is_connected = False
+        self.runs.acknowledged = 0
+        self._on_runs_ended(self.runs.lose_runner(now))
+        self._on_availability_changed()
+
     def _may_renew_lease(self, now: float) -> bool:
         """Return whether the lease of the runs may be renewed.
 
--- a/src/daisyfall/request/_pool_job_manager.py
+++ b/src/daisyfall/request/_pool_job_manager.py
@@ -10,7 +10,7 @@
 from daisyfall.connection import _link
 from daisyfall.policy import _bounds, _job_queue
 from daisyfall.process import _pool_metrics
-from daisyfall.request import _estimates, _pool_jobs
+from daisyfall.request import _dispatched_tasks, _estimates, _pool_jobs
 
 # How long an agent may queue a task whose capacity on the runner is not free yet.
 AGENT_QUEUE_WAIT_MS = 100
@@ -24,7 +24,7 @@
 SHUTDOWN_RETRY_AFTER_S = 1.0
 STOPPING = "stopping"
 # Reasons for which the same agent may be tried again, as they don't indicate a faulty runner.
-SAME_AGENT_RETRY_REASONS = frozenset({"no_room", "old_run", "late", "fenced"})
+SAME_AGENT_RETRY_REASONS = frozenset({"no_room", "old_run", "late", "fenced", "delayed"})
 
 
 class PoolJobManager:
@@ -32,7 +32,8 @@
 
     Callbacks of `set_callbacks`: `place` submits a placement request to the scheduling entry,
     `withdraw` cancels a job's pending placement requests there, `link_to` returns the link to
-    an agent, `describe` returns the fields of the entry's state to log with a job.
+    an agent, `describe` returns the fields of the entry's state to log with a job, `on_dispatch`
+    is called with the id of the agent before a task is sent to it.
     """
 
     def __init__(self, entry_id: str, bounds: _bounds.Bounds, metrics: _pool_metrics.PoolMetrics):
@@ -44,6 +45,7 @@
         self._waiter_count_by_id: dict[str, int] = {}
         self._disconnected_at_by_agent: dict[str, float] = {}
         self._unreconciled_agents: set[str] = set()
+        self._dispatched = _dispatched_tasks.DispatchedTasks()
         self._estimates = _estimates.Estimates()
         self._shutdown_deadline = math.inf
 
@@ -54,12 +56,14 @@
         withdraw: Callable[[str], None],
         link_to: Callable[[str], _link.Link | None],
         describe: Callable[[], dict],
+        on_dispatch: Callable[[str], None],
     ) -> None:
         """Set the callbacks into the entry; called before the first job."""
         self._place = place
         self._withdraw = withdraw
         self._link_to = link_to
         self._describe = describe
+        self._on_dispatch = on_dispatch
 
     def __len__(self) -> int:
         return len(self._job_by_id)
@@ -123,6 +127,7 @@
             or task.run != message.run
         ):
             return
+        self._dispatched.remove(task)
         match message.outcome:
             case "done":
                 self._handle_task_done(job, task, message.run_ms)
@@ -148,7 +153,9 @@
                 self._requeue_task(job, task, "not_at_agent")
             else:
                 previous_incarnation = f"{agent_id}/{task.agent_incarnation}"
+                self._dispatched.remove(task)
                 task.agent_id = previous_incarnation
+                self._dispatched.add(job, task)
                 self._disconnected_at_by_agent.setdefault(
                     previous_incarnation, disconnected_at or _clock.monotonic()
                 )
@@ -210,12 +217,11 @@
 
     def tasks_at(self, agent_id: str) -> list[tuple[_pool_jobs.Job, _pool_jobs.Task]]:
         """Return the tasks dispatched to an agent that have not ended."""
-        return [
-            (job, task)
-            for job in list(self._job_by_id.values())
-            for task in job.dispatched()
-            if task.agent_id == agent_id
-        ]
+        return self._dispatched.at(agent_id)
+
+    def has_tasks_at(self, agent_id: str) -> bool:
+        """Return whether any task dispatched to an agent has not ended."""
+        return self._dispatched.has_any(agent_id)
 
     def waiting_by_route(self) -> dict[str, int]:
         """Return, by route, the number of jobs without a dispatched task."""
@@ -306,7 +312,9 @@
                 continue
             if not job.has_dispatched:
                 self._metrics.observe_first_start(now - job.arrived_at)
-            run_request = job.dispatch(task, agent_id, AGENT_QUEUE_WAIT_MS)
+            run_request = job.dispatch(task, agent_id, AGENT_QUEUE_WAIT_MS, round(now * 1000))
+            self._dispatched.add(job, task)
+            self._on_dispatch(agent_id)
             task.agent_incarnation = link.peer.incarnation
             log = loguru.logger.bind(job=job.id, task=name, run=run_request.run, agent=agent_id)
             log.bind(after_ms=round((now - job.arrived_at) * 1000)).info("task ordered")
@@ -346,6 +354,7 @@
 
     def _requeue_task(self, job: _pool_jobs.Job, task: _pool_jobs.Task, reason: str) -> None:
         now = _clock.monotonic()
+        self._dispatched.remove(task)
         self._metrics.count_retries(reason)
         log = loguru.logger.bind(job=job.id, task=task.name, agent=task.agent_id, reason=reason)
         log.info("task is placed again")
@@ -367,6 +376,7 @@
         if self._job_by_id.pop(job.id, None) is None:
             return
         for task in job.dispatched():
+            self._dispatched.remove(task)
             link = self._link_to(task.agent_id)
             if link is not None:
                 link.send(_pool_wire.StopTask(task.name, task.run, answer.reason or "job ended"))
--- a/src/daisyfall/request/_pool_jobs.py
+++ b/src/daisyfall/request/_pool_jobs.py
@@ -162,8 +162,13 @@
             avoid=task.avoid,
         )
 
-    def dispatch(self, task: Task, agent_id: str, max_wait_ms: int) -> _pool_wire.RunTask:
-        """Mark a task as dispatched to an agent; return the message that runs it."""
+    def dispatch(
+        self, task: Task, agent_id: str, max_wait_ms: int, sent_ms: int
+    ) -> _pool_wire.RunTask:
+        """Mark a task as dispatched to an agent; return the message that runs it.
+
+        `sent_ms` is the time on the monotonic clock.
+        """
         step = self.submission.steps[task.step]
         task.phase = Phase.DISPATCHED
         task.agent_id = agent_id
@@ -180,6 +185,7 @@
             task.expected_ms,
             max_wait_ms,
             not task.was_rescheduled,
+            sent_ms,
         )
 
     def requeue(self, task: Task, *, avoids_agent: bool) -> None:
--- a/src/daisyfall/request/_runs.py
+++ b/src/daisyfall/request/_runs.py
@@ -88,6 +88,7 @@
 # The agent's reasons for the end of a run or the refusal of an order.
 NO_RUNNER = "no_runner"
 NO_ROOM = "no_room"
+DELAYED = "delayed"  # the order was held up on its way
 DRAINING = "draining"
 UNHEALTHY = "unhealthy"
 UNANSWERED = "unanswered"
@@ -119,6 +120,17 @@
         """Return the number of queued orders."""
         return len(self._queue)
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether there is any run or queued order."""
+        return bool(self.run_by_task or self._queue)
+
+    def entries_with_tasks(self) -> set[str]:
+        """Return the entries that have a queued order, or a run that isn't being stopped."""
+        entries = {queued.entry for queued in self._queue}
+        entries.update(run.entry for run in self.run_by_task.values() if not run.stop_reason)
+        return entries
+
     def accept(self, order: _pool_wire.RunTask, entry: str, now: float) -> RunEnd | None:
         """Queue a start order; return the refusal if the queue is full or the task can't fit."""
         known = self.run_by_task.get(order.task)
