Exchange heartbeats only on links with work, and survive bad messages

An exception in a link's handler ended its dial task for good; one in a tick, a watch of the store or the lease renewals ended that work silently. Ends of a runner that restarted under its id were acknowledged with the numbers of its last life.

--- a/features/pool_adapter.feature
+++ b/features/pool_adapter.feature
@@ -57,6 +57,8 @@
       | configuration | {                             | not JSON                 |
       | configuration | []                            | expected an object       |
       | configuration | {"Version":1}                 | Routes is None           |
+      | configuration | {"Version":1,"Routes":[],"Limits":[1]} | Limits is [1]   |
+      | configuration | {"Version":1,"Routes":[],"Limits":{"MaxBodyBytes":"x"}} | MaxBodyBytes is 'x' |
       | configuration | {"Version":-1,"Routes":[]}    | Version is -1            |
       | configuration | {"Version":1,"Routes":[5]}    | a route is 5             |
       | job           | {"BestEffort":true}           | Steps is None            |
@@ -68,3 +70,24 @@
   Scenario: the route with the longest prefix wins
     When the adapter decodes routes /a/ and /a/b/ of one host
     Then the route of /a/b/0123 is /a/b/, that of /a/0123 is /a/, and /c/ has none
+
+  # An entry that no longer watched the store would keep routes that the operator has removed.
+  Scenario Outline: a watch of the store goes on after a bad answer
+    Given a watch of a table of the store
+    When the store answers with <answer> and then with a valid row
+    Then the watch passes on the valid row and counts an error
+
+    Examples:
+      | answer                        |
+      | {"rows":[[1]]}                |
+      | {"rows":[{"Key":"a"}]}        |
+      | {"rows":[{"Key":7,"Value":"","VersionNumber":1}],"VersionNumber":1} |
+      | {"rows":[{"Key":"a","Value":"***","VersionNumber":1}],"VersionNumber":1} |
+      | {"rows":[{"Key":"a","Value":"","VersionNumber":"x"}],"VersionNumber":1} |
+      | {"rows":7,"VersionNumber":1}  |
+      | {"rows":[],"VersionNumber":[]} |
+
+  Scenario: a watch of the store goes on after its rows could not be applied
+    Given a watch of a table of the store
+    When the rows of the first answer can't be applied
+    Then the watch passes on the valid row and counts an error
--- a/features/pool_policy.feature
+++ b/features/pool_policy.feature
@@ -51,6 +51,26 @@
 
   # A runner on which every task fails at once always has free capacity, so most queued tasks would
   # be placed on it and fail.
+  # With frequent heartbeats of all entries the messages would grow with the square of the entries.
+  Scenario Outline: only the entries that rank first send frequent heartbeats to all others
+    Given an entry that starts as number <number> of 6 equal entries
+    Then it sends heartbeats to a peer that doesn't follow it every <interval> s
+    And it sends heartbeats to a peer that follows it every 0.1 s
+    And it sends heartbeats to a peer of an older build every 0.1 s
+
+    Examples:
+      | number | interval |
+      | 1      | 0.1      |
+      | 3      | 0.1      |
+      | 4      | 1.0      |
+      | 6      | 1.0      |
+
+  Scenario: a peer is timed out by the heartbeat interval that it declares
+    Given an entry that starts as number 2 of 6 equal entries
+    When peer 4 declares an interval of 1.0 s
+    Then the heartbeat timeout of peer 4 is 3.5 s
+    And the heartbeat timeout of peer 1, the leader, is 0.35 s
+
   Scenario: failed tasks of three jobs in a row eject a runner, a successful probe restores it
     Given a scheduler with runners r1:4000 r2:4000
     When tasks of jobs a, b, c fail at r1
--- a/features/steps/pool_adapter_steps.py
+++ b/features/steps/pool_adapter_steps.py
@@ -1,7 +1,10 @@
 """Steps for the platform adapter."""
 
+import asyncio
+import contextlib
 import json
 import pathlib
+import random
 import re
 import subprocess
 import sys
@@ -9,7 +12,7 @@
 
 from behave import given, then, when
 
-from daisyfall.platform import _documents, _node_settings, _runner
+from daisyfall.platform import _documents, _node_settings, _runner, _store
 from daisyfall.version import _routes
 
 SOURCE = pathlib.Path(__file__).parents[2] / "src" / "daisyfall"
@@ -154,3 +157,58 @@
     assert find("h", "/a/0123").prefix == "/a/"
     assert find("h", "/c/") is None
     assert find("other", "/a/0123") is None
+
+
+VALID_ANSWER = {"rows": [{"Key": "a", "Value": "Yg==", "VersionNumber": 2}], "VersionNumber": 2}
+
+
+class ScriptedStore(_store.Store):
+    """Store client whose calls return given answers, the last one again and again."""
+
+    def __init__(self, answers):
+        self.errors = []
+        self.answers = answers
+        super().__init__("127.0.0.1:1", None, random.Random(1), self.errors.append)
+
+    async def _call(self, *_call, **_arguments):
+        await asyncio.sleep(0)
+        return self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+
+
+def watch(context, answers, on_rows):
+    async def run():
+        context.store = ScriptedStore(answers)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.5):
+                await context.store.watch("t", 0.0, 0.01, on_rows)
+
+    asyncio.run(run())
+
+
+@given("a watch of a table of the store")
+def make_watch(context):
+    context.rows = []
+
+
+@when("the store answers with {answer} and then with a valid row")
+def answer_badly(context, answer):
+    watch(context, [json.loads(answer), VALID_ANSWER], lambda rows, _all: context.rows.extend(rows))
+
+
+@when("the rows of the first answer can't be applied")
+def apply_badly(context):
+    calls = []
+
+    def on_rows(rows, _is_all):
+        calls.append(rows)
+        if len(calls) == 1:
+            raise RuntimeError("a mistake in the handler")
+        context.rows.extend(rows)
+
+    watch(context, [VALID_ANSWER], on_rows)
+
+
+@then("the watch passes on the valid row and counts an error")
+def check_watch(context):
+    assert _store.Row("a", b"b", 2) in context.rows, context.rows
+    assert len(context.store.errors) == 1, context.store.errors
--- a/features/steps/pool_leases_steps.py
+++ b/features/steps/pool_leases_steps.py
@@ -18,6 +18,9 @@
     def __init__(self, _heartbeat):
         self.started = []
         self.ordered_at = 0.0
+        self.born_ms = 1
+        self.ended = ()
+        self.acknowledged = 0
 
     async def start(self, order, _timeout_s):
         self.started.append(order.task)
@@ -27,10 +30,16 @@
     async def stop(self, _task, _run, _token, _timeout_s):
         return False
 
-    async def renew_lease(self, _lease_until_ms, _token, _acknowledged, _wait_ms, _timeout_s):
+    async def renew_lease(self, _lease_until_ms, _token, acknowledged, _wait_ms, _timeout_s):
+        self.acknowledged = acknowledged
         await asyncio.sleep(0.02)
-        running = tuple(_leased_runner.RunProgress(task, 1, 1) for task in self.started)
-        return _leased_runner.RunSnapshot(1.0, 1, running, ())
+        ended_tasks = [end.task for end in self.ended]
+        running = tuple(
+            _leased_runner.RunProgress(task, 1, 1)
+            for task in self.started
+            if task not in ended_tasks
+        )
+        return _leased_runner.RunSnapshot(1.0, self.born_ms, running, self.ended)
 
 
 def order_of(task):
@@ -93,3 +102,33 @@
 def check_lease(context):
     min_lease_until = context.runner.ordered_at + _runner_session.START_LEASE_MS / 1000
     assert context.session.lease_until >= min_lease_until
+
+
+@when("the runner lists the task as end 7")
+def list_end(context):
+    context.runner.ended = (_leased_runner.EndedRun(7, "j.0.0", 1, _leased_runner.RunOutcome.DONE),)
+    event_loop.run(context, asyncio.sleep(0.1))
+    assert context.runner.acknowledged == 7, context.runner.acknowledged
+
+
+@when("the runner restarts under its id")
+def restart_runner(context):
+    context.runner.born_ms = 2
+    context.runner.started = []
+    context.runner.ended = ()
+    event_loop.run(context, asyncio.sleep(0.2))
+
+
+@then("the agent acknowledges no end to the restarted runner")
+def check_nothing_acknowledged(context):
+    assert context.runner.acknowledged == 0, context.runner.acknowledged
+
+
+@then("no task is started until the runner announces itself")
+def check_waits_for_announcement(context):
+    async def order():
+        accept_order(context, "m.0.0", "e")
+        await asyncio.sleep(0.05)
+
+    event_loop.run(context, order())
+    assert context.runner.started == [], context.runner.started
--- a/features/steps/pool_policy_steps.py
+++ b/features/steps/pool_policy_steps.py
@@ -118,6 +118,54 @@
     assert choose_leader(context, seconds) == "b"
 
 
+@given("an entry that starts as number {number:d} of {count:d} equal entries")
+def start_among_equals(context, number, count):
+    context.now = 100.0
+    context.leadership = _leadership.Leadership(f"e{number}", 1.0, number, context.now)
+    context.links = {}
+    for other in range(1, count + 1):
+        if other != number:
+            link = FakeLink(f"e{other}", context.now)
+            link.peer = _pool_wire.Handshake("entry", f"e{other}", "1", 1, "dc", 1.0, other)
+            context.links[f"e{other}"] = link
+            context.leadership.heard(f"e{other}", link, _pool_wire.PeerHeartbeat(True, 1, {}))
+    choose_leader(context, _election.STABLE_AFTER_S)
+
+
+def interval_to(context, peer, revision):
+    return context.leadership.heartbeat_timing_from(peer, revision).interval_s
+
+
+@then("it sends heartbeats to a peer that doesn't follow it every {seconds:g} s")
+def check_interval(context, seconds):
+    assert interval_to(context, "e9", _pool_wire.REVISION) == seconds
+
+
+@then("it sends heartbeats to a peer that follows it every {seconds:g} s")
+def check_follower_interval(context, seconds):
+    context.leadership.set_follower("e8", is_follower=True)
+    assert interval_to(context, "e8", _pool_wire.REVISION) == seconds
+
+
+@then("it sends heartbeats to a peer of an older build every {seconds:g} s")
+def check_old_interval(context, seconds):
+    assert interval_to(context, "e9", 0) == seconds
+
+
+@when("peer {number:d} declares an interval of {seconds:g} s")
+def declare_interval(context, number, seconds):
+    peer = f"e{number}"
+    heartbeat = _pool_wire.PeerHeartbeat(True, 1, {}, interval_ms=round(seconds * 1000))
+    context.leadership.heard(peer, context.links[peer], heartbeat)
+
+
+@then("the heartbeat timeout of peer {number:d} is {seconds:g} s")
+@then("the heartbeat timeout of peer {number:d}, the leader, is {seconds:g} s")
+def check_peer_timeout(context, number, seconds):
+    timing = context.leadership.heartbeat_timing_to(f"e{number}")
+    assert round(timing.heartbeat_timeout_s, 2) == seconds, timing
+
+
 def add_runner(context, name, cpu):
     runner = _runner_capacity.RunnerCapacity(name, POOL, cpu, 64_000, 0, ("a", "r1"), True)
     context.scheduler.update_runner(runner)
--- a/src/daisyfall/platform/_http.py
+++ b/src/daisyfall/platform/_http.py
@@ -19,7 +19,13 @@
         limit=MAX_CONNECTIONS, socket_factory=_open_socket, use_dns_cache=False
     )
     timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
-    return aiohttp.ClientSession(connector=connector, timeout=timeout, trust_env=False)
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=timeout,
+        trust_env=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+    )
 
 
 def call_timeout(total_s: float) -> aiohttp.ClientTimeout:
--- a/src/daisyfall/platform/_runner.py
+++ b/src/daisyfall/platform/_runner.py
@@ -1,9 +1,11 @@
 """HTTP client for an agent's runner, and decoding of the runner's heartbeats."""
 
+import json
 import math
 
 import aiohttp
 import loguru
+import yarl
 
 from daisyfall.platform import _http
 from daisyfall.process import _leased_runner
@@ -23,6 +25,9 @@
     # The other tasks of its gang did not start in time.
     "alone": _leased_runner.RunOutcome.BROKEN,
 }
+START_PATH = "/run-start"
+STOP_PATH = "/run-stop"
+RENEW_PATH = "/hold"
 UNHEALTHY_STATUSES = frozenset({429, 503})
 # Another incarnation of the runner answers at the address.
 REPLACED_STATUS = 421
@@ -33,8 +38,10 @@
 
     def __init__(self, session: aiohttp.ClientSession, heartbeat: _leased_runner.RunnerHeartbeat):
         self._session = session
-        self._url = f"http://{heartbeat.address}"
-        self._headers = {"X-Expected-Instance": heartbeat.id}
+        base = yarl.URL(f"http://{heartbeat.address}")
+        # Built once, since a call is made for each task.
+        self._url_by_path = {path: base / path[1:] for path in (START_PATH, STOP_PATH, RENEW_PATH)}
+        self._headers = {"X-Expected-Instance": heartbeat.id, "Content-Type": "application/json"}
 
     async def start(
         self, order: _leased_runner.StartOrder, timeout_s: float
@@ -47,7 +54,7 @@
             "DeadlineMs": order.lease_until_ms,
             "FencingToken": order.token,
         }
-        status, reply = await self._call("/run-start", body, timeout_s)
+        status, reply = await self._call(START_PATH, body, timeout_s)
         clock_ms = _decode_clock(reply)
         match status:
             case _leased_runner.CallOutcome():
@@ -62,7 +69,7 @@
     async def stop(self, task: str, run: int, token: int, timeout_s: float) -> bool:
         """Stop a run; return whether the runner confirmed it."""
         body = {"Task": _to_platform_task(task), "Run": run, "FencingToken": token}
-        status, _ = await self._call("/run-stop", body, timeout_s)
+        status, _ = await self._call(STOP_PATH, body, timeout_s)
         return status == 200
 
     async def renew_lease(
@@ -77,7 +84,7 @@
         body = {"FencingToken": token, "AckCursor": acknowledged, "WaitMs": wait_ms}
         if lease_until_ms is not None:
             body["DeadlineMs"] = lease_until_ms
-        status, reply = await self._call("/hold", body, wait_ms / 1000 + timeout_s)
+        status, reply = await self._call(RENEW_PATH, body, wait_ms / 1000 + timeout_s)
         match status:
             case _leased_runner.CallOutcome():
                 return _leased_runner.RenewalFailed(status)
@@ -94,8 +101,8 @@
         """Return the status and body of the reply; without a reply, what that implies."""
         try:
             async with self._session.post(
-                f"{self._url}{path}",
-                json=body,
+                self._url_by_path[path],
+                data=json.dumps(body).encode(),
                 headers=self._headers,
                 timeout=_http.call_timeout(timeout_s),
             ) as reply:
@@ -189,10 +196,10 @@
 
 
 async def _read_object(reply: aiohttp.ClientResponse) -> dict:
-    text = await reply.text()
-    if not text:
+    document = await reply.read()
+    if not document:
         return {}
-    body = await reply.json(content_type=None)
+    body = json.loads(document)
     return body if isinstance(body, dict) else {}
 
 
--- a/src/daisyfall/platform/_store.py
+++ b/src/daisyfall/platform/_store.py
@@ -167,7 +167,7 @@
 
 
 def _decode_row(row: dict) -> Row:
-    value = None if row.get("Deleted") else base64.b64decode(row["Value"])
+    value = None if row.get("Deleted") else base64.b64decode(row["Value"], validate=True)
     key, version = row["Key"], row["VersionNumber"]
     if not isinstance(key, str) or not isinstance(version, int):
         raise TypeError(f"key {key!r} or version {version!r} has the wrong type")
--- a/src/daisyfall/policy/_pool_runners.py
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -59,21 +59,22 @@
 
     def refresh(self, runner: _runner_capacity.RunnerCapacity) -> None:
         """Put a runner that has changed in its place in the order."""
-        self._forget(runner.id)
         is_healthy = runner.health.state is _runner_health.State.HEALTHY
-        if not is_healthy:
+        keys = None
+        if is_healthy and runner.is_available:
+            keys = (_preference(runner), (runner.free_cpu, runner.id), runner.cpu)
+            if keys == self._keys_by_id.get(runner.id):
+                return
+        self._forget(runner.id)
+        if keys is not None:
+            self._keys_by_id[runner.id] = keys
+            self._by_preference.add(keys[0])
+            self._by_free_cpu.add(keys[1])
+            self.healthy_cpu += runner.cpu
+        elif not is_healthy:
             self._ejected_ids.add(runner.id)
-        if not runner.is_available:
-            return
-        if not is_healthy:
-            self._unhealthy_by_id[runner.id] = runner
-            return
-        preference = _preference(runner)
-        free = (runner.free_cpu, runner.id)
-        self._by_preference.add(preference)
-        self._by_free_cpu.add(free)
-        self._keys_by_id[runner.id] = (preference, free, runner.cpu)
-        self.healthy_cpu += runner.cpu
+            if runner.is_available:
+                self._unhealthy_by_id[runner.id] = runner
 
     def max_free_cpu(self, now: float) -> int:
         """Return the most CPU that a runner which accepts tasks has free, -1 without any.
--- a/src/daisyfall/process/_leadership.py
+++ b/src/daisyfall/process/_leadership.py
@@ -22,8 +22,8 @@
 FOLLOWER_HEARTBEAT_INTERVAL_S = 0.15
 FOLLOWER_TIMEOUT_S = 0.45
 # The other entries only need a timeout so that their state is dropped.
-PEER_HEARTBEAT_INTERVAL_S = 0.5
-PEER_TIMEOUT_S = 1.5
+PEER_HEARTBEAT_INTERVAL_S = 1.0
+PEER_TIMEOUT_S = 3.0
 # The choice is repeated after this time even if nothing has changed, as candidates become stable.
 CHOICE_INTERVAL_S = 0.25
 # First revision of the messages whose senders declare the interval of their heartbeats, and
--- a/src/daisyfall/process/_link_timing.py
+++ b/src/daisyfall/process/_link_timing.py
@@ -17,7 +17,7 @@
 AGENT_HEARTBEAT_INTERVAL_S = 0.5
 AGENT_TIMEOUT_S = 1.5
 # Links without tasks.
-IDLE = _link.HeartbeatTiming(2.5, 8.0)
+IDLE = _link.HeartbeatTiming(5.0, 12.0)
 # First revision of the messages whose senders may use `IDLE`.
 IDLE_LINKS_REVISION = 1
 
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -11,8 +11,8 @@
 from daisyfall.connection import _link
 from daisyfall.policy import _job_queue
 from daisyfall.process import (
+    _entry_heartbeats,
     _leadership,
-    _link_timing,
     _pause_detector,
     _placement_service,
     _pool_metrics,
@@ -46,23 +46,32 @@
         self.configuration: _routes.Configuration | None = None
         self._document = b""
         self._decode_configuration = decode_configuration
+        self.peers = _pool_peers.PoolPeers(settings.id, self)
         self._jobs = _pool_job_manager.PoolJobManager(settings.id, settings.bounds, metrics)
-        self._jobs.set_callbacks(
-            place=self._place,
-            withdraw=lambda job_id: self._withdraw(job_id, self._leadership.leader_id),
-            link_to=self._link_to,
-            describe=self._describe,
-            on_dispatch=self._expect_agent,
-        )
         self._placement = _placement_service.PlacementService(rng, self._deliver)
         self._leadership = _leadership.Leadership(
             settings.id, settings.cores, settings.started_ms, _clock.monotonic()
         )
         self._incoming_by_id: dict[str, _link.Link] = {}
+        self._heartbeats = _entry_heartbeats.EntryHeartbeats(
+            own_id=settings.id,
+            bounds=settings.bounds,
+            leadership=self._leadership,
+            peers=self.peers,
+            incoming_by_id=self._incoming_by_id,
+            describe=self._describe_state,
+            has_tasks_at=self._jobs.has_tasks_at,
+        )
+        self._jobs.set_callbacks(
+            place=self._place,
+            withdraw=lambda job_id: self._withdraw(job_id, self._leadership.leader_id),
+            link_to=self.peers.link_by_id.get,
+            describe=lambda: {"leader": self._leadership.leader_id, "configuration": self._version},
+            on_dispatch=self._heartbeats.expect_agent,
+        )
         self._is_draining = False
         self._timing_updated_at = float("-inf")
         self._pause_detector = _pause_detector.PauseDetector(self._reset_links)
-        self.peers = _pool_peers.PoolPeers(settings.id, self)
 
     async def run(self, stop: asyncio.Event, close_callers: Callable[[], Awaitable]) -> None:
         """Serve until `stop` is set, then finish the accepted jobs.
@@ -133,14 +142,14 @@
             self._update_leader(now)
         if now - self._timing_updated_at >= TIMING_INTERVAL_S:
             self._timing_updated_at = now
-            self._update_timing(now)
+            self._heartbeats.update(now)
         self._placement.advance()
         self._jobs.expire(now)
         self.metrics.set_state(
             jobs=len(self._jobs),
             queued=self._placement.queued,
             links=len(self.peers.link_by_id),
-            configuration_version=self.configuration.version if self.configuration else 0,
+            configuration_version=self._version,
         )
 
     def _reset_links(self, _pause_s: float) -> None:
@@ -152,16 +161,14 @@
     def apply_configuration(self, document: bytes) -> None:
         """Apply a document with a newer version; raise `ValueError` if it can't be decoded."""
         configuration = self._decode_configuration(document)
-        current = self.configuration.version if self.configuration else -1
-        if configuration.version <= current:
+        if self.configuration is not None and configuration.version <= self._version:
             return
         self.configuration = configuration
         self._document = document
         log = loguru.logger.bind(version=configuration.version, routes=len(configuration.routes))
         log.info("configuration in force")
-        for node_id, link in self.peers.link_by_id.items():
-            if self.peers.node_by_id[node_id].role == _pool_wire.ROLE_ENTRY:
-                link.send(_pool_wire.ConfigurationUpdate(configuration.version, document))
+        for link in self._entry_links().values():
+            link.send(_pool_wire.ConfigurationUpdate(configuration.version, document))
 
     def rejection_reason(self) -> str:
         """Return the reason for which jobs are rejected now, `""` if they are accepted."""
@@ -202,9 +209,9 @@
                 link.send(_pool_wire.CancelJob(job_id))
         return is_known
 
-    def _describe(self) -> dict:
-        version = self.configuration.version if self.configuration else 0
-        return {"leader": self._leadership.leader_id, "configuration": version}
+    @property
+    def _version(self) -> int:
+        return self.configuration.version if self.configuration else 0
 
     def _place(self, batch: _job_queue.TaskBatch) -> None:
         """Send a batch to the leader; place it here if this entry leads or has no link to it."""
@@ -233,13 +240,9 @@
         elif entry_id in self._incoming_by_id:
             self._incoming_by_id[entry_id].send(decision)
 
-    def _link_to(self, agent_id: str) -> _link.Link | None:
-        return self.peers.link_by_id.get(agent_id)
-
     def _withdraw(self, job_id: str, leader_id: str) -> None:
         self._placement.withdraw(self.settings.id, job_id)
-        link = self.peers.link_by_id.get(leader_id)
-        if link is not None:
+        if link := self.peers.link_by_id.get(leader_id):
             link.send(_pool_wire.CancelPlacement(job_id))
 
     def _update_leader(self, now: float) -> None:
@@ -256,8 +259,8 @@
         for job_id in self._jobs.waiting_job_ids():
             self._withdraw(job_id, previous_id)
         self._jobs.request_placement_again(now)
-        self._update_timing(now)
-        self._broadcast_heartbeat()
+        self._heartbeats.update(now)
+        self._heartbeats.broadcast()
 
     # Links that this entry dialled.
 
@@ -270,10 +273,10 @@
 
     def on_opened(self, node: _pool_peers.Node, link: _link.Link) -> None:
         """Handle a new link."""
-        self._set_timing(node, link, _clock.monotonic())
+        self._heartbeats.set_timing(node, link, _clock.monotonic())
         if node.role == _pool_wire.ROLE_AGENT:
             self._jobs.mark_unreconciled(node.id)
-            link.send(self._agent_heartbeat())
+            link.send(self.heartbeat(node))
             return
         self._send_shared_state(link)
 
@@ -321,12 +324,12 @@
         if previous is not None:
             previous.abort("the entry opened a new link")
         self._incoming_by_id[peer_id] = link
-        self._set_incoming_timing(peer_id, link)
+        self._heartbeats.set_incoming_timing(peer_id, link)
         self._send_shared_state(link)
         try:
             await link.serve(
                 lambda message: self._handle_incoming(peer_id, link, message),
-                lambda: self._incoming_heartbeat(peer_id, link),
+                lambda: self._heartbeats.for_incoming(peer_id, link),
             )
         finally:
             log = loguru.logger.bind(node=peer_id, reason=link.close_reason)
@@ -350,7 +353,7 @@
                 self._jobs.cancel(message.job_id)
             case _pool_wire.PeerHeartbeat():
                 if self._leadership.set_follower(peer_id, is_follower=message.follows_receiver):
-                    self._set_incoming_timing(peer_id, link)
+                    self._heartbeats.set_incoming_timing(peer_id, link)
             case _:
                 self._apply_shared_state(message)
 
@@ -380,76 +383,18 @@
 
     def heartbeat(self, node: _pool_peers.Node) -> _pool_wire.Heartbeat | _pool_wire.PeerHeartbeat:
         """Return the heartbeat for a node."""
-        is_agent = node.role == _pool_wire.ROLE_AGENT
-        return self._agent_heartbeat() if is_agent else self._peer_heartbeat(node.id)
+        return self._heartbeats.for_node(node)
 
     def count_link_error(self, reason: str) -> None:
         """Count a rejected handshake or message of a peer."""
         self.metrics.count_link_error(reason)
 
-    def _update_timing(self, now: float) -> None:
-        """Bring the heartbeat timing of all links up to date."""
-        for node_id, link in self.peers.link_by_id.items():
-            self._set_timing(self.peers.node_by_id[node_id], link, now)
-        for peer_id, link in self._incoming_by_id.items():
-            self._set_incoming_timing(peer_id, link)
-
-    def _set_timing(self, node: _pool_peers.Node, link: _link.Link, now: float) -> None:
-        if node.role == _pool_wire.ROLE_ENTRY:
-            link.set_timing(self._leadership.heartbeat_timing_to(node.id))
-            return
-        bounds = self.settings.bounds
-        link.set_timing(
-            _link_timing.to_agent(
-                bounds,
-                is_scheduling=self._leadership.has_been_scheduling_for(
-                    bounds.heartbeat_timeout_s, now
-                ),
-                has_tasks=self._jobs.has_tasks_at(node.id) or self._leadership.is_scheduling(now),
-                revision=link.peer.revision,
-            )
-        )
-
-    def _set_incoming_timing(self, peer_id: str, link: _link.Link) -> None:
-        """Set the timing of a link that a peer dialled; tell the peer if the interval changes."""
-        timing = self._leadership.heartbeat_timing_from(peer_id, link.peer.revision)
-        is_changed = timing.interval_s != link.timing.interval_s
-        link.set_timing(timing)
-        if is_changed:
-            link.send(self._incoming_heartbeat(peer_id, link))
-
-    def _expect_agent(self, agent_id: str) -> None:
-        """Shorten the heartbeat timeout of an agent that is about to get a task."""
-        link = self.peers.link_by_id.get(agent_id)
-        if link is not None:
-            self._set_timing(self.peers.node_by_id[agent_id], link, _clock.monotonic())
-
-    def _agent_heartbeat(self) -> _pool_wire.Heartbeat:
-        now = _clock.monotonic()
-        return _pool_wire.Heartbeat(self._leadership.is_scheduling(now), round(now * 1000))
-
-    def _broadcast_heartbeat(self) -> None:
-        """Announce the leader that this entry now follows to all nodes immediately."""
-        for node_id, link in self.peers.link_by_id.items():
-            link.send(self.heartbeat(self.peers.node_by_id[node_id]))
-
-    def _incoming_heartbeat(self, peer_id: str, link: _link.Link) -> _pool_wire.PeerHeartbeat:
-        """Return the heartbeat for a link that a peer dialled; it declares the interval."""
-        interval_ms = round(link.timing.interval_s * 1000)
-        return attrs.evolve(self._peer_heartbeat(peer_id), interval_ms=interval_ms)
-
-    def _peer_heartbeat(self, peer_id: str) -> _pool_wire.PeerHeartbeat:
-        return _pool_wire.PeerHeartbeat(
+    def _describe_state(self) -> _entry_heartbeats.EntryState:
+        return _entry_heartbeats.EntryState(
             not self._is_draining and self._placement.has_available_runner(),
-            self.configuration.version if self.configuration else 0,
+            self._version,
             self._jobs.waiting_by_route(),
-            self._leadership.leader_id == self.settings.id,
-            self._leadership.leader_id == peer_id,
         )
 
     def _entry_links(self) -> dict[str, _link.Link]:
-        return {
-            node_id: link
-            for node_id, link in self.peers.link_by_id.items()
-            if self.peers.node_by_id[node_id].role == _pool_wire.ROLE_ENTRY
-        }
+        return {node.id: link for node, link in self.peers.links(_pool_wire.ROLE_ENTRY)}
--- a/src/daisyfall/process/_pool_peers.py
+++ b/src/daisyfall/process/_pool_peers.py
@@ -70,6 +70,14 @@
                 self.node_by_id[node.id] = node
                 self._dial_task_by_id[node.id] = asyncio.create_task(self._dial_forever(node))
 
+    def links(self, role: str) -> list[tuple[Node, _link.Link]]:
+        """Return the nodes of a role to which a link is open, each with the link."""
+        return [
+            (self.node_by_id[node_id], link)
+            for node_id, link in self.link_by_id.items()
+            if self.node_by_id[node_id].role == role
+        ]
+
     def expire(self, now: float) -> None:
         """Reset links past their heartbeat timeout, whose own tasks may be blocked in a send."""
         for link in list(self.link_by_id.values()):
