Count a report that comes before the runner's announcement, and recover by what came back idle

Cause: after a loss of all hosts agents connect, and report, before their runner has announced its pool. And a pool whose first runner was filled at once no longer counted as recovering. Change: the report is kept; a pool recovers while a fifth of its CPU has come back idle within the last second, so a new scheduling entry that learns of busy runners refuses as before. The scenarios that play an overload now let the runners be there for 2 s first: runners that have just been added idle are a recovery.

--- a/features/pool_policy.feature
+++ b/features/pool_policy.feature
@@ -137,6 +137,14 @@
     And r1 reports no allocations after 0.5 s
     Then r1 has capacity for 1000
 
+  # After a loss of all hosts the agents connect before their runners have announced themselves.
+  Scenario: a runner takes tasks as soon as its agent, which has already reported, knows its pool
+    Given a scheduler with runners r1:1000
+    And agent r2 has reported no allocations and has no runner yet
+    When the runner of r2 with a capacity of 2000 announces itself
+    And job a of 1 tasks of 2000 arrives
+    Then its tasks are placed on r2
+
   Scenario: an allocation report from before a placement doesn't release its allocation
     Given a scheduler with runners r1:1000
     When job a of 1 tasks of 1000 arrives
@@ -202,6 +210,7 @@
   # A queue that is still full after a burst would make the following jobs late.
   Scenario: jobs that arrive after a burst end in time
     Given a scheduler with 10 runners of 16000
+    And the runners have been there for 2 s
     And tasks that take 120 ms
     When jobs of 8 tasks of 1600 arrive at 200% of the capacity for 4 s
     And at 60% of the capacity for 4 s after that
@@ -212,6 +221,7 @@
   # All hosts have lost power: callers wait, and the runners return idle one after the other.
   Scenario: jobs that wait while all runners are gone are served late once the runners return
     Given a scheduler with 10 runners of 16000
+    And the runners have been there for 2 s
     And tasks that take 120 ms
     And all runners are gone
     When jobs of 8 tasks of 1600 arrive at 60% of the capacity for 0.5 s
@@ -221,8 +231,19 @@
     And at least 95% of the jobs that arrive 0.1 s after the burst end within their target latency
     And no job waits longer than 45% of its time before it is refused
 
+  Scenario: a new scheduling entry that learns of busy runners refuses as before
+    Given a scheduler with 10 runners of 16000
+    And the runners have been there for 2 s
+    And tasks that take 120 ms
+    And all runners are gone
+    When jobs of 8 tasks of 1600 arrive at 200% of the capacity for 1 s
+    And at 60% of the capacity for 1 s after that
+    And the runners return busy from 0 s to 0.1 s
+    Then no job waits longer than its target latency before it is refused
+
   Scenario: jobs are refused at their latest start in an overload, though a late answer has worth
     Given a scheduler with 10 runners of 16000
+    And the runners have been there for 2 s
     And tasks that take 120 ms
     When jobs of 8 tasks of 1600 arrive at 200% of the capacity for 4 s
     And at 60% of the capacity for 1 s after that
--- a/features/steps/pool_policy_steps.py
+++ b/features/steps/pool_policy_steps.py
@@ -174,6 +174,21 @@
     context.scheduler.sync_allocations(name, {}, context.now)
 
 
+@given("agent {name} has reported no allocations and has no runner yet")
+def report_without_runner(context, name):
+    runner = _runner_capacity.RunnerCapacity(name, "", 0, 0, 0, (), False)
+    context.scheduler.update_runner(runner)
+    context.scheduler.sync_allocations(name, {}, context.now)
+
+
+@when("the runner of {name} with a capacity of {cpu:d} announces itself")
+def announce_runner(context, name, cpu):
+    runner = _runner_capacity.RunnerCapacity(
+        name, POOL, cpu, 64_000, 0, ("a", "r1"), True, incarnation="i-1"
+    )
+    context.scheduler.update_runner(runner)
+
+
 @given("a scheduler with runners {runners}")
 def make_scheduler(context, runners):
     context.now = 100.0
@@ -469,12 +484,28 @@
     scheduler.update_runner(attrs.evolve(scheduler.runner_by_id[name], is_open=is_open))
 
 
+@given("the runners have been there for {seconds:g} s")
+def keep_runners(context, seconds):
+    for _ in range(round(seconds / _pool_entry.TICK_S)):
+        context.now += _pool_entry.TICK_S
+        context.scheduler.advance(context.now)
+
+
 @given("all runners are gone")
 def close_runners(context):
     for name in context.scheduler.runner_by_id:
         open_runner(context, name, is_open=False)
 
 
+@when("the runners return busy from {start:g} s to {end:g} s")
+def return_busy(context, start, end):
+    scheduler = context.scheduler
+    for name, runner in scheduler.runner_by_id.items():
+        busy = _runner_capacity.Allocation(runner.cpu, 10, 0, context.now + 0.3, "other")
+        scheduler.sync_allocations(name, {f"other.0.{name}": busy}, context.now)
+    return_runners(context, start, end)
+
+
 @when("the runners return one after the other from {start:g} s to {end:g} s")
 def return_runners(context, start, end):
     simulation, names = context.simulation, list(context.scheduler.runner_by_id)
--- a/src/daisyfall/policy/_pool_runners.py
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -18,10 +18,11 @@
 EXCLUSION_SLOWNESS = 3.0
 # Slowness is compared in steps of this size, so that noise doesn't outweigh free capacity.
 SLOWNESS_STEP = 0.5
-# A pool recovers while its healthy CPU is more than this multiple of what it was within the last
-# one to two of these intervals.
-RECOVERY_GROWTH = 1.25
+# A pool recovers while this share of its CPU has come back idle within one to two of these
+# intervals. Runners that come back busy were there before: a new scheduling entry learns of them.
+RECOVERED_SHARE = 0.2
 RECOVERY_S = 0.5
+IDLE_SHARE = 0.5
 # Share of a pool's CPU that late jobs leave free.
 SPARE_SHARE = 0.15
 _EXCLUSION_STEP = int((EXCLUSION_SLOWNESS - 1.0) / SLOWNESS_STEP)
@@ -38,8 +39,8 @@
         self.healthy_cpu = 0
         self.free_cpu = 0
         self.examined = 0
-        self._lowest_cpu = 0
-        self._previous_lowest_cpu = 0
+        self._returned_cpu = 0
+        self._previous_returned_cpu = 0
         self._interval_started_at = float("-inf")
         # Healthy available runners as (slowness step, -free share, id) and as (free CPU, id).
         self._by_preference = sortedcontainers.SortedList()
@@ -66,7 +67,6 @@
         """Remove a runner."""
         del self.runner_by_id[runner.id]
         self._forget(runner.id)
-        self._lowest_cpu = min(self._lowest_cpu, self.healthy_cpu)
 
     def refresh(self, runner: _runner_capacity.RunnerCapacity) -> None:
         """Put a runner that has changed in its place in the order."""
@@ -76,8 +76,10 @@
             keys = (_preference(runner), (runner.free_cpu, runner.id), runner.cpu)
             if keys == self._keys_by_id.get(runner.id):
                 return
-        self._forget(runner.id)
+        was_available = self._forget(runner.id)
         if keys is not None:
+            if not was_available and runner.free_cpu >= IDLE_SHARE * runner.cpu:
+                self._returned_cpu += runner.cpu
             self._keys_by_id[runner.id] = keys
             self._by_preference.add(keys[0])
             self._by_free_cpu.add(keys[1])
@@ -87,20 +89,17 @@
             self._ejected_ids.add(runner.id)
             if runner.is_available:
                 self._unhealthy_by_id[runner.id] = runner
-        self._lowest_cpu = min(self._lowest_cpu, self.healthy_cpu)
 
     def advance(self, now: float) -> None:
-        """Forget what the pool's CPU was before the last intervals."""
+        """Forget what came back before the last intervals."""
         if now - self._interval_started_at > RECOVERY_S:
-            self._previous_lowest_cpu, self._lowest_cpu = self._lowest_cpu, self.healthy_cpu
+            self._previous_returned_cpu, self._returned_cpu = self._returned_cpu, 0
             self._interval_started_at = now
 
     def is_recovering(self) -> bool:
         """Return whether the pool has no runner, or has just got many of them back idle."""
-        if not self.healthy_cpu:
-            return True
-        lowest_cpu = min(self._lowest_cpu, self._previous_lowest_cpu)
-        return self.healthy_cpu > RECOVERY_GROWTH * lowest_cpu and self.has_spare()
+        returned_cpu = self._returned_cpu + self._previous_returned_cpu
+        return not self.healthy_cpu or returned_cpu > RECOVERED_SHARE * self.healthy_cpu
 
     def has_spare(self) -> bool:
         """Return whether so much is free that late jobs don't delay others."""
@@ -142,7 +141,8 @@
             _slowness_step(other) < _EXCLUSION_STEP for other in self._unhealthy_by_id.values()
         )
 
-    def _forget(self, runner_id: str) -> None:
+    def _forget(self, runner_id: str) -> bool:
+        """Take a runner out of the order; return whether it was in it."""
         self._ejected_ids.discard(runner_id)
         self._unhealthy_by_id.pop(runner_id, None)
         keys = self._keys_by_id.pop(runner_id, None)
@@ -152,6 +152,7 @@
             self._by_free_cpu.remove(free)
             self.healthy_cpu -= cpu
             self.free_cpu -= free[0]
+        return keys is not None
 
 
 class Candidates:
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -62,6 +62,10 @@
         if known is None or known.pool != runner.pool:
             if known is not None:
                 self._runners_by_pool[known.pool].remove(known)
+                # An agent without a runner yet has reported its allocations already.
+                runner.allocation_by_task = known.allocation_by_task
+                runner.has_report = known.has_report
+                runner.update_free()
             self.runner_by_id[runner.id] = runner
             self._runners(runner.pool).add(runner)
             return
