Count the runners that a placement examines, and log a bad message's error as a field

Cause: the issue asks that a submission costs the same with 20, 160 and 2,000 runners, and no test showed it. Change: a scenario with 20, 160 and 800 runners counts the examined ones at 130% of the capacity.

--- a/features/pool_policy.feature
+++ b/features/pool_policy.feature
@@ -259,6 +259,19 @@
     Then at least 40 jobs have waited for capacity at the same time
     And placing took at most 181 us of processor time per started task
 
+  Scenario Outline: placing a task examines few runners whatever the size of the pool
+    Given a scheduler with <count> runners of 16000
+    And tasks that take 400 ms
+    When jobs of 4 tasks of 1600 arrive at 130% of the capacity for 0.6 s
+    And at 60% of the capacity for 0.2 s after that
+    Then placing examined at most 3 runners for each started task
+
+    Examples:
+      | count |
+      | 20    |
+      | 160   |
+      | 800   |
+
   # Callers that all retried at the same time would cause another burst.
   Scenario: the retry hints of refused jobs are spread
     Given a scheduler with runners r1:1000
--- a/features/steps/pool_policy_steps.py
+++ b/features/steps/pool_policy_steps.py
@@ -621,3 +621,10 @@
         simulation.cpu_s,
         simulation.starts,
     )
+
+
+@then("placing examined at most {limit:d} runners for each started task")
+def check_examined(context, limit):
+    simulation = ended_simulation(context)
+    examined = context.scheduler.examined_runners(POOL) / simulation.starts
+    assert 0 < examined <= limit, examined
--- a/src/daisyfall/connection/_link.py
+++ b/src/daisyfall/connection/_link.py
@@ -141,8 +141,8 @@
 
     def _reject(self, reason: str, error: Exception) -> None:
         self._count_error(reason)
-        log = loguru.logger.bind(peer=self.peer.node_id, reason=reason)
-        log.warning(f"link reset after a bad message: {error}")
+        log = loguru.logger.bind(peer=self.peer.node_id, reason=reason, error=str(error))
+        log.warning("link reset after a bad message")
         self.abort(f"{reason} message: {error}")
 
     def _schedule_heartbeat(self, now: float) -> None:
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -165,6 +165,10 @@
         """Return the cores of the healthy runners that accept tasks."""
         return self._runners(pool).healthy_cpu / 1000
 
+    def examined_runners(self, pool: str) -> int:
+        """Return how many runners all choices of a runner have looked at so far."""
+        return self._runners(pool).examined
+
     def _queue(self, pool: str) -> _job_queue.JobQueue:
         return self._queue_by_pool.setdefault(pool, _job_queue.JobQueue())
 
