--- a/features/pool_policy.feature
+++ b/features/pool_policy.feature
@@ -30,8 +30,8 @@
       | a:1.0:10:0.1:yes b:1.0:20:0.1:yes                | none    | a      |
       | a:1.0:10:60:no b:1.0:20:60:no                    | a       | none   |
 
-  # When all entries restarted after a power loss, each one acted as leader for 2 s, and the agents
-  # refused 164 start orders.
+  # After a power loss all entries start at once. Each one would act as the leader at first, and
+  # agents would refuse what several of them place.
   Scenario: entries that start at the same time agree on a leader at the first heartbeat
     Given an entry b that starts together with an entry a of as many cores that started first
     Then entry b follows entry a within 0.2 s
@@ -43,14 +43,12 @@
     Then entry b remains the leader for 1.9 s more
     And entry b follows entry a after 2.1 s more
 
-  # An entry whose links had been reset acted as a second leader for 2 s.
+  # An entry whose links were all reset would otherwise act as a second leader.
   Scenario: an entry that reconnects follows the current leader at once
     Given an entry b that has been the only entry for 60 s
     When a first heartbeat arrives from a higher-ranked entry a that is the leader
     Then entry b follows entry a within 0.2 s
 
-  # A runner on which every task fails at once always has free capacity, so most queued tasks would
-  # be placed on it and fail.
   # With frequent heartbeats of all entries the messages would grow with the square of the entries.
   Scenario Outline: only the entries that rank first send frequent heartbeats to all others
     Given an entry that starts as number <number> of 6 equal entries
@@ -71,6 +69,8 @@
     Then the heartbeat timeout of peer 4 is 3.5 s
     And the heartbeat timeout of peer 1, the leader, is 0.35 s
 
+  # A runner on which every task fails at once always has free capacity, so most queued tasks would
+  # be placed on it and fail.
   Scenario: failed tasks of three jobs in a row eject a runner, a successful probe restores it
     Given a scheduler with runners r1:4000 r2:4000
     When tasks of jobs a, b, c fail at r1
--- a/features/pool_runs.feature
+++ b/features/pool_runs.feature
@@ -40,9 +40,8 @@
     And the runner lists nothing running, asked 0.07 s later
     Then the reported ends are j.0.0:unanswered
 
-  # A run that is being stopped is in neither list until it has ended. When it was taken for ended,
-  # run 5 of a task started 27 ms before the end of run 4
-  # (sal-stock, faulty-runners --seed 530601195494).
+  # A run that is being stopped is in neither list until it has ended. If it counted as ended, the
+  # next run of its task could start before that (sal-stock, faulty-runners --seed 530601195494).
   Scenario: a stopping run that is missing from both lists is not reported as ended
     When entry e orders task j.0.0 of 4000
     And its start is not answered
@@ -60,8 +59,7 @@
     Then no end is reported
     And no stop is due
 
-  # After a lost lease renewal the lists of a runner were missing for 0.5 s, and all of its tasks
-  # were stopped as stalled.
+  # A lost lease renewal leaves a gap in the lists, which says nothing about the tasks.
   Scenario: a task is not stalled while the runner's lists are missing
     When entry e orders task j.0.0 of 4000
     And its start is confirmed
@@ -137,8 +135,7 @@
     And the runner lists end 1 of j.0.0 as done
     Then the reported ends are j.0.0:lost j.0.0:done
 
-  # A runner that had become 7 times slower kept its tasks until their jobs had missed their
-  # deadlines.
+  # On a runner that becomes much slower, the tasks would last until their jobs miss their deadlines.
   Scenario: the tasks of a slow runner are stopped so that they are rescheduled, each once
     When entry e orders tasks a.0.0 b.0.0 c.0.0 that may be rescheduled, and d.0.0 that may not
     And all progress to 4 percent within 0.25 s
