Keep the state that entries share in a module of its own

Change: configuration and nodes move to process/_shared_state.py; the message EvacuationUpdate and revision 3 of the pool messages are reserved for it.

--- a/src/daisyfall/_pool_wire.py
+++ b/src/daisyfall/_pool_wire.py
@@ -14,12 +14,14 @@
 
 PROTOCOL_VERSION = 1
 # Revision of the messages.
-REVISION = 2
+REVISION = 3
 # From this revision on, a link without work needs few heartbeats, and a heartbeat between entries
 # tells when the next one is due.
 RARE_HEARTBEATS_REVISION = 1
 # From this revision on, agents report crashes of their runners.
 CRASH_REPORTS_REVISION = 2
+# From this revision on, entries and agents know evacuations of data centres.
+EVACUATIONS_REVISION = 3
 
 
 @_codec.message(50)
@@ -238,3 +240,14 @@
     """Entry to entry: a caller cancelled a job; the entry where it is in progress ends it."""
 
     job_id: str
+
+
+@_codec.message(68)
+class EvacuationUpdate:
+    """Entry to entries and agents: the data centres that are or were evacuated.
+
+    `rows` holds `[data centre, version, is evacuated]`; of two rows for a data centre, the one with
+    the higher version of the store holds.
+    """
+
+    rows: list
--- a/src/daisyfall/platform/_entry_node.py
+++ b/src/daisyfall/platform/_entry_node.py
@@ -91,4 +91,4 @@
 def _apply_configuration(entry: _pool_entry.PoolEntry, rows: list[_store.Row]) -> None:
     for row in rows:
         if row.key == CONFIGURATION_KEY and row.value is not None:
-            entry.apply_configuration(row.value)
+            entry.shared.apply_configuration(row.value)
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -18,6 +18,7 @@
     _pool_metrics,
     _pool_peers,
     _pool_settings,
+    _shared_state,
     _ticker,
 )
 from daisyfall.request import _pool_job_manager, _pool_jobs
@@ -43,10 +44,8 @@
     ):
         self.settings = settings
         self.metrics = metrics
-        self.configuration: _routes.Configuration | None = None
-        self._document = b""
-        self._decode_configuration = decode_configuration
         self.peers = _pool_peers.PoolPeers(settings.id, self)
+        self.shared = _shared_state.SharedState(self.peers, decode_configuration, metrics)
         self._jobs = _pool_job_manager.PoolJobManager(settings.id, settings.bounds, metrics)
         self._placement = _placement_service.PlacementService(rng, self._deliver)
         self._leadership = _leadership.Leadership(
@@ -66,7 +65,10 @@
             place=self._place,
             withdraw=lambda job_id: self._withdraw(job_id, self._leadership.leader_id),
             link_to=self.peers.link_by_id.get,
-            describe=lambda: {"leader": self._leadership.leader_id, "configuration": self._version},
+            describe=lambda: {
+                "leader": self._leadership.leader_id,
+                "configuration": self.shared.version,
+            },
             on_dispatch=self._heartbeats.update_agent,
         )
         self._is_draining = False
@@ -148,7 +150,7 @@
             jobs=len(self._jobs),
             queued=self._placement.queued,
             links=len(self.peers.link_by_id),
-            configuration_version=self._version,
+            configuration_version=self.shared.version,
         )
 
     def _reset_links(self, _pause_s: float) -> None:
@@ -157,22 +159,10 @@
         for link in list(self._incoming_by_id.values()):
             link.abort("this process was paused")
 
-    def apply_configuration(self, document: bytes) -> None:
-        """Apply a document with a newer version; log and count one that can't be decoded."""
-        try:
-            configuration = self._decode_configuration(document)
-        except ValueError as error:
-            self.metrics.count_internal_error("configuration")
-            loguru.logger.bind(reason=str(error)).error("invalid configuration")
-            return
-        if self.configuration is not None and configuration.version <= self._version:
-            return
-        self.configuration = configuration
-        self._document = document
-        log = loguru.logger.bind(version=configuration.version, routes=len(configuration.routes))
-        log.info("configuration in force")
-        for link in self._entry_links().values():
-            link.send(_pool_wire.ConfigurationUpdate(configuration.version, document))
+    @property
+    def configuration(self) -> _routes.Configuration | None:
+        """Return the configuration in force."""
+        return self.shared.configuration
 
     def rejection_reason(self) -> str:
         """Return the reason for which jobs are rejected now, `""` if they are accepted."""
@@ -211,10 +201,6 @@
                 link.send(_pool_wire.CancelJob(job_id))
         return is_known
 
-    @property
-    def _version(self) -> int:
-        return self.configuration.version if self.configuration else 0
-
     def _place(self, batch: _job_queue.TaskBatch) -> None:
         """Send a batch to the leader; place it here if this entry leads or has no link to it."""
         now = _clock.monotonic()
@@ -278,7 +264,7 @@
             self._jobs.mark_unreconciled(node.id)
             link.send(self.heartbeat(node))
             return
-        self._send_shared_state(link)
+        self.shared.send_to_entry(link)
 
     def on_message(self, node: _pool_peers.Node, link: _link.Link, message) -> None:
         """Handle a message of an agent or another entry."""
@@ -307,7 +293,7 @@
             case _pool_wire.Heartbeat():
                 pass
             case _:
-                self._apply_shared_state(message)
+                self.shared.handle(message)
 
     def on_closed(self, node: _pool_peers.Node, link: _link.Link) -> None:
         """Handle the end of a link."""
@@ -328,7 +314,7 @@
             previous.abort("the entry opened a new link")
         self._incoming_by_id[peer_id] = link
         self._heartbeats.set_incoming_timing(peer_id, link)
-        self._send_shared_state(link)
+        self.shared.send_to_entry(link)
         try:
             await link.serve(
                 lambda message: self._handle_incoming(peer_id, link, message),
@@ -358,25 +344,7 @@
                 if self._leadership.set_follower(peer_id, is_follower=message.follows_receiver):
                     self._heartbeats.set_incoming_timing(peer_id, link)
             case _:
-                self._apply_shared_state(message)
-
-    def _send_shared_state(self, link: _link.Link) -> None:
-        """Send the nodes and the configuration to an entry, which may not reach the store."""
-        nodes = self.peers.node_by_id.values()
-        link.send(
-            _pool_wire.MembershipUpdate([[node.id, node.role, node.address] for node in nodes])
-        )
-        if self.configuration is not None:
-            link.send(_pool_wire.ConfigurationUpdate(self._version, self._document))
-
-    def _apply_shared_state(self, message) -> None:
-        match message:
-            case _pool_wire.MembershipUpdate():
-                self.peers.add_nodes([_pool_peers.Node(*row) for row in message.nodes])
-            case _pool_wire.ConfigurationUpdate():
-                self.apply_configuration(message.document)
-            case _:
-                loguru.logger.bind(kind=type(message).__name__).warning("unexpected message")
+                self.shared.handle(message)
 
     # Heartbeats.
 
@@ -391,7 +359,7 @@
     def _describe_state(self) -> _entry_heartbeats.EntryState:
         return _entry_heartbeats.EntryState(
             self._is_available,
-            self._version,
+            self.shared.version,
             self._jobs.waiting_by_route(),
         )
 
