Evacuate data centres on the operator's request

Cause: rows op/evacuate/ZONE of the operator had no effect, so tasks went on being started in a data centre that was to be emptied.

Change: entries read the rows beside the configuration, keep the last state of each data centre by its version of the store, and tell entries and agents on change and first on each new link. Agents of an evacuated data centre refuse starts and report their runner as closed; the scheduling entry places nothing there and refuses jobs that only it could run; the dispatching entry checks again. Runners of a data centre that is taken back offer a growing share of their capacity.

--- a/src/daisyfall/platform/_entry_node.py
+++ b/src/daisyfall/platform/_entry_node.py
@@ -13,12 +13,11 @@
     _node_process,
     _node_row,
     _node_settings,
+    _operator_rows,
     _store,
 )
 from daisyfall.process import _pool_entry, _pool_peers, _pool_settings
 
-OPERATOR_TABLE = "op"
-CONFIGURATION_KEY = "config"
 NODES_TIMING = _store.WatchTiming(wait_s=10.0, pause_s=0.2)
 # The platform's load balancer stops sending new connections after two failed readiness probes,
 # which are 1 s apart.
@@ -33,6 +32,7 @@
             **_node_process.shared_settings(settings, bounds),
             max_drain_s=settings.grace_s - _node_settings.STOP_MARGIN_S,
             drain_delay_s=min(BALANCER_DRAIN_S, settings.grace_s / 2),
+            data_centres=settings.data_centres,
         ),
         _documents.decode_configuration,
         metrics,
@@ -60,9 +60,11 @@
         _node_process.spawn(
             stack,
             store.watch(
-                OPERATOR_TABLE,
-                _store.timing_for_bound(settings.configuration_bound_s),
-                lambda rows, _is_all: _apply_configuration(entry, rows),
+                _operator_rows.TABLE,
+                _store.timing_for_bound(
+                    min(settings.configuration_bound_s, settings.evacuation_bound_s)
+                ),
+                _operator_rows.OperatorRows(entry.shared).update,
             ),
         )
         await entry.run(_node_process.watch_signals(path, settings), close_callers)
@@ -75,9 +77,9 @@
         self._entry = entry
         self._node_by_id: dict[str, _pool_peers.Node] = {}
 
-    def update(self, rows: list[_store.Row], is_all: bool) -> None:
-        """Apply changed rows, or replace all rows if `is_all`."""
-        if is_all:
+    def update(self, rows: list[_store.Row], read_version: int | None) -> None:
+        """Apply changed rows, or replace all rows if they were read as of a version."""
+        if read_version is not None:
             self._node_by_id.clear()
         for row in rows:
             self._node_by_id.pop(row.key, None)
@@ -86,9 +88,3 @@
                 self._node_by_id[row.key] = _pool_peers.Node(row.key, found.role, found.address)
         loguru.logger.bind(nodes=len(self._node_by_id)).info("table of nodes updated")
         self._entry.peers.set_nodes(list(self._node_by_id.values()))
-
-
-def _apply_configuration(entry: _pool_entry.PoolEntry, rows: list[_store.Row]) -> None:
-    for row in rows:
-        if row.key == CONFIGURATION_KEY and row.value is not None:
-            entry.shared.apply_configuration(row.value)
--- a/src/daisyfall/platform/_node_settings.py
+++ b/src/daisyfall/platform/_node_settings.py
@@ -9,6 +9,8 @@
 STOP_MARGIN_S = 0.8
 DEFAULT_RESEND_MS = 1300.0
 DEFAULT_CONFIGURATION_MS = 2000.0
+DEFAULT_EVACUATION_MS = 5000.0
+DATA_CENTRE_PREFIX = "Zones."
 
 
 class NodeSettingsError(Exception):
@@ -23,8 +25,9 @@
     the agent receives its runner's heartbeats, is set on runner hosts. `cores` is the share of
     a core times the speed of that core. `longest_lease_s` is the longest lease that the runner
     grants, `stop_task_s` the time in which it stops a task, `resend_s` the time after which a
-    caller sends a request again, `grace_s` the time that the platform gives a process to stop, and
-    `configuration_bound_s` the time within which a confirmed configuration has to be in force.
+    caller sends a request again, `grace_s` the time that the platform gives a process to stop.
+    `configuration_bound_s` and `evacuation_bound_s` are the times within which a confirmed
+    configuration or evacuation has to be in force. `data_centres` names those of the deployment.
     """
 
     node_id: str
@@ -42,6 +45,8 @@
     resend_s: float
     grace_s: float
     configuration_bound_s: float
+    evacuation_bound_s: float
+    data_centres: tuple[str, ...]
 
 
 def load(path: str, role_index: int) -> NodeSettings:
@@ -78,6 +83,12 @@
         grace_s=reader.number("Bounds.GraceS"),
         configuration_bound_s=reader.number("Bounds.ConfigApplyMs", DEFAULT_CONFIGURATION_MS)
         / 1000,
+        evacuation_bound_s=reader.number("Bounds.EvacuationMs", DEFAULT_EVACUATION_MS) / 1000,
+        data_centres=tuple(
+            name.removeprefix(DATA_CENTRE_PREFIX)
+            for name in fields
+            if name.startswith(DATA_CENTRE_PREFIX)
+        ),
     )
 
 
--- a/src/daisyfall/platform/_store.py
+++ b/src/daisyfall/platform/_store.py
@@ -89,20 +89,24 @@
         loguru.logger.bind(table=table, key=key).info("row written")
 
     async def watch(
-        self, table: str, timing: WatchTiming, on_rows: Callable[[list[Row], bool], None]
+        self, table: str, timing: WatchTiming, on_rows: Callable[[list[Row], int | None], None]
     ) -> None:
-        """Call `on_rows` with all rows of a table (and True), then with each change (and False)."""
+        """Call `on_rows` with all rows of a table, and then with the changed rows at each change.
+
+        With all rows, its second argument is the version of the store as of which they were read;
+        with changed rows it is None. All rows are read again if the store has lost its history.
+        """
         version = None
         attempt = 0
         while True:
             try:
                 if version is None:
                     rows, version = await self._read_all(table)
-                    on_rows(rows, True)
+                    on_rows(rows, version)
                 else:
                     rows, version = await self._read_changes(table, version, timing)
                     if rows:
-                        on_rows(rows, False)
+                        on_rows(rows, None)
             except StoreError as error:
                 reason = error.reason
             except Exception as error:
@@ -140,14 +144,17 @@
     async def _read_all(self, table: str) -> tuple[list[Row], int]:
         rows: list[Row] = []
         start_key = ""
+        # That of the first page: what changes while further ones are read is in the feed after it.
+        version = None
         while True:
             query = {"Table": table, "part": "", "Limit": str(PAGE_ROWS)}
             if start_key:
                 query["From"] = start_key
             body = await self._call("GET", "/rows-get", CALL_TIMEOUT_S, params=query)
             rows += _decode_rows(body)
+            version = _decode_version(body) if version is None else version
             if not body.get("HasMore") or not rows:
-                return rows, _decode_version(body)
+                return rows, version
             start_key = f"{rows[-1].key}\0"
 
     async def _read_changes(
--- a/src/daisyfall/policy/_pool_runners.py
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -9,6 +9,7 @@
 """
 
 import heapq
+import itertools
 import math
 from collections.abc import Iterable, Iterator
 
@@ -72,17 +73,18 @@
         is_healthy = runner.health.state is _runner_health.State.HEALTHY
         keys = None
         if is_healthy and runner.is_available:
-            keys = (_preference(runner), (runner.free_cpu, runner.id), runner.cpu)
+            keys = (_preference(runner), (runner.free_cpu, runner.id), runner.offered_cpu)
             if keys == self._keys_by_id.get(runner.id):
                 return
         was_available = self._forget(runner.id)
         if keys is not None:
-            if not was_available and runner.free_cpu >= IDLE_SHARE * runner.cpu:
+            is_idle = runner.free_cpu >= IDLE_SHARE * runner.cpu
+            if not was_available and is_idle and runner.share == 1.0:
                 self._returned_cpu += runner.cpu
             self._keys_by_id[runner.id] = keys
             self._by_preference.add(keys[0])
             self._by_free_cpu.add(keys[1])
-            self.healthy_cpu += runner.cpu
+            self.healthy_cpu += runner.offered_cpu
             self.free_cpu += runner.free_cpu
         elif not is_healthy:
             self._ejected_ids.add(runner.id)
@@ -110,6 +112,19 @@
         returned_cpu = self._returned_cpu + self._previous_returned_cpu
         return not self.healthy_cpu or returned_cpu > RECOVERED_SHARE * self.healthy_cpu
 
+    def fits_evacuated_only(self, demand: _runner_capacity.Demand) -> bool:
+        """Return whether only runners of evacuated data centres could ever run a task."""
+        # Available runners come first, as nearly every one of them can run most tasks.
+        runner_ids = itertools.chain(self._keys_by_id, self.runner_by_id)
+        fits_any = False
+        for runner_id in runner_ids:
+            runner = self.runner_by_id[runner_id]
+            if runner.may_ever_fit(demand):
+                if not runner.is_evacuated:
+                    return False
+                fits_any = True
+        return fits_any
+
     def has_spare(self) -> bool:
         """Return whether so much is free that late jobs don't delay others."""
         return self.free_cpu > SPARE_SHARE * self.healthy_cpu
--- a/src/daisyfall/policy/_runner_capacity.py
+++ b/src/daisyfall/policy/_runner_capacity.py
@@ -1,5 +1,7 @@
 """Capacity of one runner, as the scheduling entry knows it."""
 
+import math
+
 import attrs
 
 from daisyfall.policy import _runner_health
@@ -45,7 +47,8 @@
     """One runner: its capacity, what is allocated and free, and its health.
 
     `is_open` tells that the runner accepts tasks, `has_report` that its agent has reported what
-    is allocated there; both are needed for a placement.
+    is allocated there; both are needed for a placement. A runner in an evacuated data centre gets
+    no tasks, and one that returns from there offers a `share` of its capacity.
     """
 
     id: str
@@ -64,6 +67,10 @@
     free_accelerators: int = 0
     # The most that this incarnation has had; it may shrink and grow again.
     largest: tuple[int, int, int] = (0, 0, 0)
+    data_centre: str = ""
+    is_evacuated: bool = False
+    share: float = 1.0
+    offered_cpu: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Compute the free capacity."""
@@ -77,16 +84,24 @@
         self.update_free()
 
     def update_free(self) -> None:
-        """Recompute the free capacity from the allocations."""
+        """Recompute the free capacity from the offered one and the allocations."""
         allocations = self.allocation_by_task.values()
-        self.free_cpu = self.cpu - sum(allocation.cpu for allocation in allocations)
-        self.free_memory_mb = self.memory_mb - sum(
+        self.offered_cpu = math.ceil(self.cpu * self.share)
+        self.free_cpu = self.offered_cpu - sum(allocation.cpu for allocation in allocations)
+        self.free_memory_mb = math.ceil(self.memory_mb * self.share) - sum(
             allocation.memory_mb for allocation in allocations
         )
-        self.free_accelerators = self.accelerators - sum(
+        self.free_accelerators = math.ceil(self.accelerators * self.share) - sum(
             allocation.accelerators for allocation in allocations
         )
 
+    def set_evacuation(self, *, is_evacuated: bool, share: float) -> None:
+        """Set whether the data centre is evacuated, and the share of the capacity to offer."""
+        self.is_evacuated = is_evacuated
+        if share != self.share:
+            self.share = share
+            self.update_free()
+
     def allocate(self, demand: Demand, now: float) -> None:
         """Allocate the resources of a task."""
         self.allocation_by_task[demand.task] = Allocation(
@@ -124,8 +139,8 @@
 
     @property
     def is_available(self) -> bool:
-        """Return whether the runner accepts tasks and its allocations are known."""
-        return self.is_open and self.has_report
+        """Return whether the runner gets tasks and its allocations are known."""
+        return self.is_open and self.has_report and not self.is_evacuated
 
     def has_label(self, demand: Demand) -> bool:
         """Return whether the runner has the label that the task requires, if any."""
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -4,7 +4,14 @@
 
 import attrs
 
-from daisyfall.policy import _job_queue, _pool_runners, _runner_capacity, _runner_health
+from daisyfall.policy import (
+    _evacuations,
+    _gradual_return,
+    _job_queue,
+    _pool_runners,
+    _runner_capacity,
+    _runner_health,
+)
 
 # Outcomes that agents report when a task's resources are released.
 DONE = "done"
@@ -50,6 +57,9 @@
         self._runners_by_pool: dict[str, _pool_runners.PoolRunners] = {}
         self._queue_by_pool: dict[str, _job_queue.JobQueue] = {}
         self._batch_by_id: dict[str, _job_queue.TaskBatch] = {}
+        self._evacuated: frozenset[str] = frozenset()
+        self._returns = _gradual_return.GradualReturn()
+        self._share_by_data_centre: dict[str, float] = {}
 
     @property
     def queued(self) -> int:
@@ -69,7 +79,30 @@
             known.health = _runner_health.RunnerHealth()
             known.largest = runner.largest
         known.resize(runner.cpu, runner.memory_mb, runner.accelerators)
-        self._runners(known.pool).update(known)
+        known.data_centre = runner.data_centre
+        self._update_evacuation(known)
+
+    def set_evacuated(self, data_centres: frozenset[str], now: float) -> list[Refusal]:
+        """Place nothing in these data centres; refuse batches of which only they could run a task.
+
+        Runners of a data centre that is no longer among them return gradually.
+        """
+        for data_centre in self._evacuated - data_centres:
+            self._returns.begin(data_centre, now)
+        for data_centre in data_centres - self._evacuated:
+            self._returns.cancel(data_centre)
+        self._evacuated = data_centres
+        self._share_by_data_centre = self._returns.share_by_data_centre(now)
+        for runner in self.runner_by_id.values():
+            self._update_evacuation(runner)
+        refusals = [
+            self._evacuation_refusal(batch)
+            for batch in self._batch_by_id.values()
+            if self._needs_evacuated_runner(batch)
+        ]
+        for refusal in refusals:
+            self._remove(refusal.batch)
+        return refusals
 
     def mark_runner_unreachable(self, runner_id: str) -> None:
         """Place nothing on a runner until it reports again; its health is kept."""
@@ -151,6 +184,7 @@
     def advance(self, now: float) -> list[Placement | Refusal]:
         """Run a scheduling round for all pools: place what fits and refuse what has expired."""
         decisions: list[Placement | Refusal] = []
+        self._advance_returns(now)
         for runners in self._runners_by_pool.values():
             runners.advance(now)
         for pool, queue in self._queue_by_pool.items():
@@ -191,6 +225,8 @@
             any(runner.may_ever_fit(demand) for runner in runners) for demand in batch.demands
         ):
             return Refusal(batch, IMPOSSIBLE, 0.0)
+        if self._needs_evacuated_runner(batch):
+            return self._evacuation_refusal(batch)
         if self.queued >= _job_queue.MAX_QUEUED_BATCHES:
             return self._refusal(batch, QUEUE_FULL)
         queue = self._queue(batch.pool)
@@ -217,6 +253,32 @@
         after_s = _job_queue.retry_after_s(work, self.cores(batch.pool, batch.route), jitter)
         return Refusal(batch, reason, after_s)
 
+    def _update_evacuation(self, runner: _runner_capacity.RunnerCapacity) -> None:
+        is_evacuated = runner.data_centre in self._evacuated
+        share = self._share_by_data_centre.get(runner.data_centre, 1.0)
+        runner.set_evacuation(is_evacuated=is_evacuated, share=share)
+        self._runners(runner.pool).update(runner)
+
+    def _advance_returns(self, now: float) -> None:
+        """Bring the capacity of runners that return from an evacuation up to date."""
+        previous, self._share_by_data_centre = (
+            self._share_by_data_centre,
+            self._returns.share_by_data_centre(now),
+        )
+        if self._share_by_data_centre != previous:
+            for runner in self.runner_by_id.values():
+                self._update_evacuation(runner)
+
+    def _needs_evacuated_runner(self, batch: _job_queue.TaskBatch) -> bool:
+        """Return whether only runners of evacuated data centres could run a task of a batch."""
+        runners = self._runners(batch.pool)
+        return bool(self._evacuated) and any(map(runners.fits_evacuated_only, batch.demands))
+
+    def _evacuation_refusal(self, batch: _job_queue.TaskBatch) -> Refusal:
+        """Return a refusal with a late retry, as the operator decides when to take back."""
+        after_s = _job_queue.retry_after_s(0.0, 0.0, self._rng.random())
+        return Refusal(batch, _evacuations.EVACUATED, after_s)
+
     def _place(self, pool: str, candidates: _pool_runners.Candidates) -> list[Placement]:
         queue = self._queue(pool)
         decisions = []
--- a/src/daisyfall/process/_placement_service.py
+++ b/src/daisyfall/process/_placement_service.py
@@ -97,7 +97,11 @@
         self._scheduler.update_slowness(agent_id, message.slowness)
         self.advance()
 
-    def update_runner(self, agent_id: str, state: _pool_wire.RunnerState) -> None:
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Place nothing in evacuated data centres; refuse what only they could run."""
+        self._deliver_decisions(self._scheduler.set_evacuated(data_centres, _clock.monotonic()))
+
+    def update_runner(self, agent_id: str, state: _pool_wire.RunnerState, data_centre: str) -> None:
         """Update the capacity and availability of a runner as its agent reports them."""
         runner = _runner_capacity.RunnerCapacity(
             agent_id,
@@ -108,6 +112,7 @@
             tuple(state.labels),
             state.is_open,
             state.runner_id,
+            data_centre=data_centre,
         )
         self._scheduler.update_runner(runner)
         self.advance()
--- a/src/daisyfall/process/_pool_agent.py
+++ b/src/daisyfall/process/_pool_agent.py
@@ -8,6 +8,7 @@
 
 from daisyfall import _clock, _pool_wire
 from daisyfall.connection import _link, _message_age
+from daisyfall.policy import _evacuations
 from daisyfall.process import (
     _leased_runner,
     _lifecycle,
@@ -59,6 +60,8 @@
             settings.bounds, settings.heartbeat_s, settings.started_ms, connect_runner, metrics
         )
         self._runs = self._runner.runs
+        self._evacuations = _evacuations.Evacuations([settings.data_centre])
+        self._is_evacuated = False
         self._sent_state: _pool_wire.RunnerState | None = None
         self._crashes: collections.deque[tuple[float, _pool_wire.RunnerCrashed]] = (
             collections.deque(maxlen=MAX_REPORTED_CRASHES)
@@ -204,6 +207,8 @@
                 self._stop(session, message)
             case _pool_wire.Heartbeat():
                 self._handle_heartbeat(session, message)
+            case _pool_wire.EvacuationUpdate():
+                self._handle_evacuations(message)
             case _:
                 loguru.logger.bind(kind=type(message).__name__).warning("unexpected message")
 
@@ -218,6 +223,21 @@
         if message.is_scheduling:
             self._report_allocations(now)
 
+    def _handle_evacuations(self, message: _pool_wire.EvacuationUpdate) -> None:
+        """Close the runner when its data centre is evacuated; running tasks go on."""
+        self._evacuations.merge([_evacuations.State(*row) for row in message.rows])
+        is_evacuated = self.settings.data_centre in self._evacuations.in_force
+        if is_evacuated == self._is_evacuated:
+            return
+        self._is_evacuated = is_evacuated
+        log = loguru.logger.bind(data_centre=self.settings.data_centre)
+        log.bind(running=len(self._runs.run_by_task), queued=self._runs.queued).info(
+            "data centre is evacuated" if is_evacuated else "data centre is taken back"
+        )
+        if is_evacuated:
+            self._report_ends(self._runs.reject_queued(_runs.EVACUATED))
+        self._send_changed_state()
+
     def _accept(self, session: EntrySession, order: _pool_wire.RunTask) -> None:
         now = _clock.monotonic()
         reason = self._unavailable_reason(now)
@@ -302,6 +322,8 @@
         """Return the reason for which no task is accepted, `""` if tasks are accepted."""
         if not self._lifecycle.accepts_work:
             return _runs.DRAINING
+        if self._is_evacuated:
+            return _runs.EVACUATED
         return self._runner.unavailable_reason(now)
 
     def _state(self) -> _pool_wire.RunnerState:
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -45,7 +45,13 @@
         self.settings = settings
         self.metrics = metrics
         self.peers = _pool_peers.PoolPeers(settings.id, self)
-        self.shared = _shared_state.SharedState(self.peers, decode_configuration, metrics)
+        self.shared = _shared_state.SharedState(
+            self.peers,
+            decode_configuration,
+            metrics,
+            (settings.data_centre, *settings.data_centres),
+            self._set_evacuated,
+        )
         self._jobs = _pool_job_manager.PoolJobManager(settings.id, settings.bounds, metrics)
         self._placement = _placement_service.PlacementService(rng, self._deliver)
         self._leadership = _leadership.Leadership(
@@ -151,8 +157,13 @@
             queued=self._placement.queued,
             links=len(self.peers.link_by_id),
             configuration_version=self.shared.version,
+            evacuated_data_centres=len(self.shared.evacuated),
         )
 
+    def _set_evacuated(self, data_centres: frozenset[str]) -> None:
+        self._jobs.evacuated = data_centres
+        self._placement.set_evacuated(data_centres)
+
     def _reset_links(self, _pause_s: float) -> None:
         """Reset all links after a pause; tasks that agents stopped meanwhile are placed again."""
         self.peers.abort_all("this process was paused")
@@ -261,6 +272,7 @@
         """Handle a new link."""
         self._heartbeats.set_timing(node, link, _clock.monotonic())
         if node.role == _pool_wire.ROLE_AGENT:
+            self.shared.send_to_agent(link)
             self._jobs.mark_unreconciled(node.id)
             link.send(self.heartbeat(node))
             return
@@ -282,7 +294,7 @@
             case _pool_wire.AllocationReport():
                 self._placement.sync_allocations(node.id, message)
             case _pool_wire.RunnerState():
-                self._placement.update_runner(node.id, message)
+                self._placement.update_runner(node.id, message, link.peer.data_centre)
             case _pool_wire.Resumed():
                 self._jobs.reconcile_tasks(node.id, link, message)
             case _pool_wire.TasksPlaced() | _pool_wire.PlacementRefused():
@@ -313,8 +325,8 @@
         if previous is not None:
             previous.abort("the entry opened a new link")
         self._incoming_by_id[peer_id] = link
-        self._heartbeats.set_incoming_timing(peer_id, link)
         self.shared.send_to_entry(link)
+        self._heartbeats.set_incoming_timing(peer_id, link)
         try:
             await link.serve(
                 lambda message: self._handle_incoming(peer_id, link, message),
--- a/src/daisyfall/process/_pool_settings.py
+++ b/src/daisyfall/process/_pool_settings.py
@@ -43,10 +43,11 @@
 class EntrySettings(PoolSettings):
     """Settings of an entry; it stops listening no earlier than `drain_delay_s` after the signal.
 
-    By then, callers are no longer sent to it.
+    By then, callers are no longer sent to it. `data_centres` names those of the deployment.
     """
 
     drain_delay_s: float
+    data_centres: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/daisyfall/request/_pool_job_manager.py
+++ b/src/daisyfall/request/_pool_job_manager.py
@@ -8,7 +8,7 @@
 
 from daisyfall import _clock, _pool_wire
 from daisyfall.connection import _link
-from daisyfall.policy import _bounds, _job_queue, _runner_crashes
+from daisyfall.policy import _bounds, _evacuations, _job_queue, _runner_crashes
 from daisyfall.process import _pool_metrics
 from daisyfall.request import _dispatched_tasks, _estimates, _pending_answers, _pool_jobs
 
@@ -34,7 +34,8 @@
     Callbacks of `set_callbacks`: `place` submits a placement request to the scheduling entry,
     `withdraw` cancels a job's pending placement requests there, `link_to` returns the link to
     an agent, `describe` returns the fields of the entry's state to log with a job, `on_dispatch`
-    is called with the id of the agent before a task is sent to it.
+    is called with the id of the agent before a task is sent to it. Nothing is sent to the agents
+    of the data centres in `evacuated`.
     """
 
     def __init__(self, entry_id: str, bounds: _bounds.Bounds, metrics: _pool_metrics.PoolMetrics):
@@ -49,6 +50,7 @@
         self._dispatched = _dispatched_tasks.DispatchedTasks()
         self._estimates = _estimates.Estimates()
         self._shutdown_deadline = math.inf
+        self.evacuated: frozenset[str] = frozenset()
 
     def set_callbacks(
         self,
@@ -294,7 +296,10 @@
             if task is None or task.phase is not _pool_jobs.Phase.WAITING:
                 continue
             link = self._link_to(agent_id)
-            if link is None or agent_id in self._unreconciled_agents:
+            is_evacuated = link is not None and link.peer.data_centre in self.evacuated
+            if is_evacuated:
+                self._metrics.count_retries(_evacuations.EVACUATED)
+            if link is None or is_evacuated or agent_id in self._unreconciled_agents:
                 task.agent_id = agent_id
                 job.requeue(task, avoids_agent=True)
                 unreachable.append(task)
--- a/src/daisyfall/request/_runs.py
+++ b/src/daisyfall/request/_runs.py
@@ -89,6 +89,7 @@
 NO_RUNNER = "no_runner"
 NO_ROOM = "no_room"
 DELAYED = "delayed"  # the order was held up on its way
+EVACUATED = "evacuated"  # the runner's data centre is evacuated
 DRAINING = "draining"
 UNHEALTHY = "unhealthy"
 UNANSWERED = "unanswered"
