--- a/features/steps/pool_soak_steps.py
+++ b/features/steps/pool_soak_steps.py
@@ -19,6 +19,8 @@
     "partial",
     "not_run_but_ran",
     "crashed_many",
+    "evacuated_start",
+    "slowest_evacuation_s",
     "config_went_back",
     "slowest_recovery_s",
 )
--- a/src/daisyfall/policy/_gradual_return.py
+++ b/src/daisyfall/policy/_gradual_return.py
@@ -19,10 +19,6 @@
         """Record that a data centre was taken back."""
         self._taken_back_at_by_data_centre[data_centre] = now
 
-    def cancel(self, data_centre: str) -> None:
-        """Forget a data centre that is evacuated again."""
-        self._taken_back_at_by_data_centre.pop(data_centre, None)
-
     def share_by_data_centre(self, now: float) -> dict[str, float]:
         """Return the share of their capacity that the runners of returning data centres offer."""
         share_by_data_centre = {}
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -89,8 +89,6 @@
         """
         for data_centre in self._evacuated - data_centres:
             self._returns.begin(data_centre, now)
-        for data_centre in data_centres - self._evacuated:
-            self._returns.cancel(data_centre)
         self._evacuated = data_centres
         self._share_by_data_centre = self._returns.share_by_data_centre(now)
         for runner in self.runner_by_id.values():
--- a/src/daisyfall_standins/fault_injection.py
+++ b/src/daisyfall_standins/fault_injection.py
@@ -1,7 +1,7 @@
 """Faults to inject into a running system, each described by a short text.
 
 Examples: `entry-0 is paused for 2 s`, `the store is down for 3 s`,
-`the runner of agent-1 restarts`.
+`the runner of agent-1 restarts`, `the operator evacuates z1 for 2 s`.
 """
 
 import asyncio
@@ -55,7 +55,12 @@
     """Inject a fault and end it after its duration; raise `ValueError` for an unknown fault."""
     event, _, duration = fault.partition(" for ")
     duration_s = float(duration.split()[0]) if duration else 0.0
-    if event.startswith("the store"):
+    if event.startswith("the operator"):
+        data_centre = event.rsplit(maxsplit=1)[-1]
+        world.operator.evacuate(data_centre)
+        await asyncio.sleep(duration_s)
+        world.operator.take_back(data_centre)
+    elif event.startswith("the store"):
         await _inject_store(world, event, duration_s)
     elif event.startswith("the runner of"):
         await _inject_runner(world, event, duration_s)
--- a/src/daisyfall_standins/leased_runner.py
+++ b/src/daisyfall_standins/leased_runner.py
@@ -53,9 +53,12 @@
     completed_tasks: set[str] = attrs.Factory(set)
     events: list[tuple[str, str]] = attrs.Factory(list)
     first_start_by_task: dict[str, float] = attrs.Factory(dict)  # s, monotonic clock
+    # Time and data centre of each start.
+    starts: list[tuple[float, str]] = attrs.Factory(list)
 
-    def record_start(self, task: str) -> None:
+    def record_start(self, task: str, data_centre: str) -> None:
         """Record a start, and the task as overlapping if another run of it is in progress."""
+        self.starts.append((time.monotonic(), data_centre))
         self.events.append(("start", task))
         running = self.running_by_task.get(task, 0) + 1
         self.running_by_task[task] = running
@@ -78,9 +81,15 @@
     _id_counter = itertools.count(1)
 
     def __init__(
-        self, pool: str, cpu: int, memory_mb: int, execution_log: ExecutionLog, rack: str = "r1"
+        self,
+        pool: str,
+        cpu: int,
+        memory_mb: int,
+        execution_log: ExecutionLog,
+        data_centre: str = "z1",
     ):
-        self.pool, self.cpu, self.memory_mb, self.rack = pool, cpu, memory_mb, rack
+        self.pool, self.cpu, self.memory_mb, self.rack = pool, cpu, memory_mb, "r1"
+        self.data_centre = data_centre
         self.execution_log = execution_log
         self.fault = ""
         self.state = "ready"
@@ -162,7 +171,7 @@
         return {
             "Service": self.pool,
             "Address": self.address,
-            "Zone": "z1",
+            "Zone": self.data_centre,
             "Version": "v1",
             "Slots": 8,
             "State": self.state,
@@ -246,7 +255,7 @@
             )
             self.run_by_task[task] = run
             self.last_run_number_by_task[task] = number
-            self.execution_log.record_start(task)
+            self.execution_log.record_start(task, self.data_centre)
         if self.fault == "unanswered":
             await asyncio.sleep(MAX_WAIT_MS / 1000)
         return self._respond()
--- a/src/daisyfall_standins/metadata_store.py
+++ b/src/daisyfall_standins/metadata_store.py
@@ -41,6 +41,15 @@
         self._notify_waiters()
         return self.version
 
+    def remove(self, table: str, key: str) -> int:
+        """Remove a row without preconditions."""
+        self.version += 1
+        self._row_by_key.pop((table, "", key), None)
+        row = {"Table": table, "part": "", "Key": key, "Deleted": True}
+        self._history.append({**row, "VersionNumber": self.version})
+        self._notify_waiters()
+        return self.version
+
     def truncate_history(self) -> None:
         """Drop the history of the feed; readers get 410 and must read the tables again."""
         self._history.clear()
@@ -83,10 +92,7 @@
         for row in body.get("Upserts", []):
             self.put(row["Table"], row["Key"], row["Value"])
         for row in body.get("Remove", []):
-            self._row_by_key.pop((row["Table"], row["part"], row["Key"]), None)
-            self.version += 1
-            self._history.append({**row, "Deleted": True, "VersionNumber": self.version})
-            self._notify_waiters()
+            self.remove(row["Table"], row["Key"])
         return web.json_response(self._version_fields())
 
     async def _get(self, request: web.Request) -> web.Response:
--- a/src/daisyfall_standins/platform_world.py
+++ b/src/daisyfall_standins/platform_world.py
@@ -19,7 +19,7 @@
 import attrs
 from aiohttp import web
 
-from daisyfall_standins import leased_runner, metadata_store, processes, wire_proxy
+from daisyfall_standins import leased_runner, metadata_store, operator, processes, wire_proxy
 
 POOL = "pool"
 HOST_NAME = "orders.example"
@@ -44,6 +44,8 @@
 OCTET_VALUES = 250
 # After three crashes under a task it may be started twice more.
 MAX_CRASHES_OF_TASK = 5
+# No task may start in a data centre later than this after its evacuation was acknowledged.
+EVACUATION_BOUND_S = 5.0
 
 
 @attrs.define
@@ -63,24 +65,33 @@
 
 
 class World:
-    """One deployment; `async with World(...)` starts it and stops it at the end."""
+    """One deployment; `async with World(...)` starts it and stops it at the end.
 
-    def __init__(self, fleet: processes.Fleet, entries: int, agents: int, seed: int):
+    Its nodes are spread over the data centres `z1`, `z2` and so on.
+    """
+
+    def __init__(
+        self, fleet: processes.Fleet, entries: int, agents: int, seed: int, data_centres: int = 1
+    ):
         self.fleet = fleet
         self.rng = random.Random(seed)
         self.execution_log = leased_runner.ExecutionLog()
         self.results = CallResults()
         self.tasks_by_job: dict[str, int] = {}
         self.store = metadata_store.MetadataStore()
+        self.operator = operator.Operator(self.store, self.execution_log)
         pid = os.getpid()
         network = f"127.{pid % OCTET_VALUES + 1}.{pid // OCTET_VALUES % OCTET_VALUES + 1}"
         self._entry_ips = [f"{network}.{FIRST_ENTRY_OCTET + n}" for n in range(entries)]
         self._agent_ips = [f"{network}.{FIRST_AGENT_OCTET + n}" for n in range(agents)]
         self.store_address = f"{network}.{STORE_OCTET}:{STORE_PORT}"
         self.runner_by_agent = {
-            f"agent-{n}": leased_runner.FakeLeasedRunner(POOL, 8000, 16_000, self.execution_log)
+            f"agent-{n}": leased_runner.FakeLeasedRunner(
+                POOL, 8000, 16_000, self.execution_log, f"z{n % data_centres + 1}"
+            )
             for n in range(agents)
         }
+        self.data_centres = [f"z{n + 1}" for n in range(data_centres)]
         self.proxy_by_node: dict[str, wire_proxy.FaultProxy] = {}
         self._config_dir = tempfile.TemporaryDirectory(prefix="daisyfall-world-")
         self._background_tasks: list[asyncio.Task] = []
@@ -215,7 +226,8 @@
 
         `run_twice`: two runs of a task overlapped. `partial`: a job was answered as completed,
         but not all of its tasks were. `not_run_but_ran`: a job was refused, but had started.
-        `crashed_many`: a task crashed more runners than the platform allows.
+        `crashed_many`: a task crashed more runners than the platform allows. `evacuated_start`: a
+        task started in an evacuated data centre.
         """
         completed_by_job: dict[str, set[str]] = {}
         for task in self.execution_log.completed_tasks:
@@ -238,6 +250,11 @@
                 for task, crashes in self.execution_log.crashes_by_task.items()
                 if crashes > MAX_CRASHES_OF_TASK
             ],
+            "evacuated_start": [
+                f"{delay_s:.2f} s after the request"
+                for delay_s in self.operator.delays_s()
+                if delay_s > EVACUATION_BOUND_S
+            ],
         }
 
     def new_job(
@@ -268,7 +285,8 @@
         fields = {
             "NodeName": name,
             "IpAddress": ip,
-            "Zone": "z1",
+            "Zone": self._data_centre(name),
+            **{f"Zones.{data_centre}": "region" for data_centre in self.data_centres},
             "InternalPortRange": f"{NODE_PORT},{NODE_PORT + 15}",
             "Limits.CpuShare": 0.5,
             "Limits.Cores": 2,
@@ -277,6 +295,7 @@
             "Bounds.StopMs": 50,
             "Bounds.GraceS": 6,
             "Bounds.ResendMs": int(CLIENT_RETRY_DELAY_S * 1000),
+            "Bounds.EvacuationMs": int(EVACUATION_BOUND_S * 1000),
             "platform.Address": self.store_address,
         }
         if role == "entry":
@@ -286,6 +305,9 @@
             fields["ListenAddresses.Control"] = f"{ip}:{CONTROL_PORT}"
         return "".join(f"{key}={value}\n" for key, value in fields.items())
 
+    def _data_centre(self, node: str) -> str:
+        return self.data_centres[int(node.rpartition("-")[2]) % len(self.data_centres)]
+
     def _store_application(self) -> web.Application:
         self.store.transform_row = self._with_proxy_address
         return self.store.application()
--- a/src/daisyfall_standins/soak.py
+++ b/src/daisyfall_standins/soak.py
@@ -26,6 +26,9 @@
 CONFIG_INTERVAL_S = 2.5
 PROBE_INTERVAL_S = 0.25
 CRASHING_JOB_INTERVAL_S = 3.0
+DATA_CENTRES = 3
+# Longest evacuation; jobs need the data centres that are left.
+MAX_EVACUATION_S = 8.0
 MARKER_PREFIX = "/marker-{}/"
 
 
@@ -37,6 +40,7 @@
         self._rng = random.Random(seed)
         # Apart from the others, so that a seed plays the same faults as before.
         self._crash_rng = random.Random(seed + 1)
+        self._evacuation_rng = random.Random(seed + 2)
         self._seconds = seconds
         self._injection_ends_at = 0.0
         self._submissions: list[asyncio.Task] = []
@@ -53,7 +57,9 @@
         probe_task = asyncio.create_task(self._probe())
         fault_tasks = [self._inject_faults() for _ in range(MAX_CONCURRENT_FAULTS)]
         load_task = asyncio.create_task(self._load())
-        await asyncio.gather(self._configure(), self._crash_runners(), *fault_tasks)
+        await asyncio.gather(
+            self._configure(), self._crash_runners(), self._evacuate(), *fault_tasks
+        )
         self._last_fault_ended_at = time.monotonic()
         await asyncio.sleep(RECOVERY_WAIT_S)
         load_task.cancel()
@@ -90,6 +96,7 @@
             else [f"calm: {sum(recovery_answers)}"],
             "config_went_back": self.config_regressions,
             "bad_exits": self._world.unexpected_exits,
+            "slowest_evacuation_s": round(max(self._world.operator.delays_s(), default=0.0), 2),
             "slowest_recovery_s": round(first_success_at - self._last_fault_ended_at, 2),
         }
 
@@ -114,18 +121,33 @@
                 asyncio.create_task(self._world.submit_with_retries(job, body, CALL_TIMEOUT_S))
             )
 
+    async def _evacuate(self) -> None:
+        """Evacuate one data centre after the other, some of them for a moment only."""
+        rng = self._evacuation_rng
+        while (remaining_s := self._injection_ends_at - time.monotonic()) > 0:
+            # A store that is down would not acknowledge the operator's request.
+            if not self._world.store.fault:
+                longest_s = min(remaining_s, rng.choice((0.8, MAX_EVACUATION_S)))
+                data_centre = rng.choice(self._world.data_centres)
+                duration_s = rng.uniform(0.0, longest_s)
+                fault = f"the operator evacuates {data_centre} for {duration_s:.1f} s"
+                self._record_fault(fault)
+                await fault_injection.inject(self._world, fault)
+            await asyncio.sleep(rng.uniform(0.1, 0.5))
+
     async def _inject_faults(self) -> None:
         agents = list(self._world.runner_by_agent)
         while time.monotonic() < self._injection_ends_at:
             await asyncio.sleep(self._rng.uniform(0.1, 1.5))
             fault = fault_injection.random_fault(self._rng, self._world.entry_names, agents)
-            self.faults.append(fault)
-            print(
-                f"{self._seconds - self._injection_ends_at + time.monotonic():7.2f} s  {fault}",
-                flush=True,
-            )
+            self._record_fault(fault)
             await fault_injection.inject(self._world, fault)
 
+    def _record_fault(self, fault: str) -> None:
+        self.faults.append(fault)
+        elapsed_s = self._seconds - self._injection_ends_at + time.monotonic()
+        print(f"{elapsed_s:7.2f} s  {fault}", flush=True)
+
     async def _configure(self) -> None:
         marker_count = 0
         while time.monotonic() < self._injection_ends_at:
@@ -170,6 +192,7 @@
     "partial",
     "not_run_but_ran",
     "crashed_many",
+    "evacuated_start",
     "lost",
     "config_went_back",
     "bad_exits",
@@ -179,7 +202,7 @@
 async def run(seed: int, seconds: float) -> dict:
     """Run the soak with one seed; return its report."""
     with processes.Fleet() as fleet:
-        async with platform_world.World(fleet, ENTRIES, AGENTS, seed) as world:
+        async with platform_world.World(fleet, ENTRIES, AGENTS, seed, DATA_CENTRES) as world:
             soak = Soak(world, seed, seconds)
             await soak.execute()
             return {"seed": seed, **soak.report()}
