Drive links by the event loop's callbacks, and dial nodes in the order in which they are needed

Cause: after a loss of all processes the processor time of the entries binds. A link had two tasks, a queue and several futures in websockets' asyncio classes; the entries dialled all 68 nodes at once; a node whose process started later was found by retries whose intervals grow up to 1 s.

Change: a link uses the Sans-I/O classes of websockets in an asyncio protocol. A node is dialled at once when its row is written or it dials this one.

--- a/features/pool_agent_world.py
+++ b/features/pool_agent_world.py
@@ -4,8 +4,9 @@
 import contextlib
 
 import pool_stand_ins
+import websockets
 
-from daisyfall import _clock, _pool_wire
+from daisyfall import _clock, _codec, _pool_wire
 from daisyfall.connection import _link
 from daisyfall.process import (
     _link_timing,
@@ -36,7 +37,7 @@
         handshake = pool_stand_ins.handshake(
             _pool_wire.ROLE_ENTRY, self.name, revision=self.revision
         )
-        self._socket, self.link = await _link.dial(f"{ADDRESS}:{port}", handshake, lambda _: None)
+        self.link = await _link.dial(f"{ADDRESS}:{port}", handshake, lambda _: None)
         self.set_timing(has_tasks=self.schedules)
         self.link.send(self._heartbeat())
         self._task = asyncio.create_task(self.link.serve(self.received.append, self._heartbeat))
@@ -118,11 +119,16 @@
 
     async def send_raw(self, frame: bytes | str) -> None:
         """Send one frame after a valid handshake, and wait until the agent ends the link."""
-        entry = FakeEntry("raw")
-        await entry.dial(self.port)
-        await entry._socket.send(frame)
-        async with asyncio.timeout(2):
-            await entry._task
+        handshake = pool_stand_ins.handshake(_pool_wire.ROLE_ENTRY, "raw")
+        async with websockets.connect(
+            f"ws://{ADDRESS}:{self.port}", compression=None, proxy=None
+        ) as socket:
+            await socket.send(_codec.encode(handshake))
+            await socket.send(frame)
+            with contextlib.suppress(websockets.ConnectionClosed):
+                async with asyncio.timeout(2):
+                    while True:
+                        await socket.recv()
 
     def count(self, metric: str) -> float:
         """Return the sum of a counter over its labels."""
--- a/features/steps/pool_links_steps.py
+++ b/features/steps/pool_links_steps.py
@@ -234,21 +234,22 @@
         await link.serve(lambda _message: None, _pool_wire.Heartbeat)
 
     async def run():
-        context.server = await _link.listen(
+        context.listener = _link.listen(
             serve,
             lambda: pool_stand_ins.handshake("agent", "a"),
             pool_agent_world.ADDRESS,
             0,
             lambda _reason: None,
         )
-        port = context.server.sockets[0].getsockname()[1]
+        server = await context.listener.__aenter__()
+        port = server.sockets[0].getsockname()[1]
         context.peers = _pool_peers.PoolPeers("e", context.handler)
         address = f"{pool_agent_world.ADDRESS}:{port}"
         context.peers.add_nodes([_pool_peers.Node("a", "agent", address)])
 
     async def close():
         await context.peers.close()
-        context.server.close()
+        await context.listener.__aexit__(None, None, None)
 
     event_loop.run(context, run())
     event_loop.at_end(context, close)
--- a/src/daisyfall/connection/_link.py
+++ b/src/daisyfall/connection/_link.py
@@ -8,16 +8,14 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
 import loguru
-import websockets
 
 from daisyfall import _clock, _codec, _pool_wire
-from daisyfall.connection import _keep_alive
+from daisyfall.connection import _message_socket
 
 HANDSHAKE_TIMEOUT_S = 1.0
 # Bounds the memory that is used for a peer that does not read.
@@ -25,13 +23,17 @@
 MAX_FRAME_BYTES = _codec.MAX_MESSAGE_BYTES
 # Other messages replace a heartbeat for at most this long, since it also carries state.
 MAX_HEARTBEAT_GAP_S = 1.0
-# The kernel resets a connection whose peer acknowledges nothing for idle + count * interval
-# seconds, so a dead link is noticed between two rare heartbeats too.
-KEEP_ALIVE = _keep_alive.KeepAlive(idle_s=1, interval_s=1, count=2)
 
 
 class LinkError(Exception):
-    """The link could not be established; the text is the reason."""
+    """The link could not be established; the text is the reason.
+
+    `is_refused` tells that the host is up, but nothing listens there.
+    """
+
+    def __init__(self, reason: str, *, is_refused: bool = False):
+        super().__init__(reason)
+        self.is_refused = is_refused
 
 
 @attrs.frozen
@@ -45,7 +47,12 @@
 class Link:
     """Established connection; `peer` is the `Handshake` of the other side."""
 
-    def __init__(self, socket, peer: _pool_wire.Handshake, count_error: Callable[[str], None]):
+    def __init__(
+        self,
+        socket: _message_socket.MessageSocket,
+        peer: _pool_wire.Handshake,
+        count_error: Callable[[str], None],
+    ):
         self.peer = peer
         self.opened_at = self.last_received_at = _clock.monotonic()
         self.is_closed = False
@@ -57,10 +64,12 @@
         self._timing_set_at = self.opened_at
         self._unsent: list[Any] = []
         self._sent_at = float("-inf")
-        self._heartbeat_at = float("inf")
         self._heartbeat_sent_at = float("-inf")
         self._heartbeat_timer: asyncio.TimerHandle | None = None
-        self._wake_writer = asyncio.Event()
+        self._is_flush_scheduled = False
+        self._loop = asyncio.get_running_loop()
+        self._handle: Callable[[Any], None] | None = None
+        self._make_heartbeat: Callable[[], Any] | None = None
 
     def send(self, message: Any) -> None:
         """Queue a message; those queued in one event loop iteration share a frame."""
@@ -69,7 +78,9 @@
         self._unsent.append(message)
         if len(self._unsent) > MAX_UNSENT_MESSAGES:
             self.abort("the peer does not read")
-        self._wake_writer.set()
+        elif not self._is_flush_scheduled:
+            self._is_flush_scheduled = True
+            self._loop.call_soon(self._flush)
 
     def abort(self, reason: str) -> None:
         """Reset the connection."""
@@ -77,9 +88,9 @@
             self.is_closed = True
             self.close_reason = reason
             self._unsent.clear()
-            self._wake_writer.set()
-            if self._socket.transport is not None:
-                self._socket.transport.abort()
+            if self._heartbeat_timer is not None:
+                self._heartbeat_timer.cancel()
+            self._socket.abort()
 
     @property
     def timing(self) -> HeartbeatTiming:
@@ -111,28 +122,26 @@
         `make_heartbeat` returns the heartbeat message. A message that can't be decoded, or for
         which `handle` raises, ends the link but not the process.
         """
-        writer = asyncio.create_task(self._write(make_heartbeat))
+        self._handle, self._make_heartbeat = handle, make_heartbeat
+        self._socket.on_writable = self._flush
+        try:
+            self._socket.deliver_to(self._receive)
+            await self._socket.closed.wait()
+            self.abort(self._socket.close_reason)
+        finally:
+            self.abort("the handler ended")
+
+    def _receive(self, frame: bytes | str) -> None:
+        if self.is_closed:
+            return
+        self.last_received_at = _clock.monotonic()
         try:
-            async for frame in self._socket:
-                if self.is_closed:
-                    break
-                self.last_received_at = _clock.monotonic()
-                for message in _codec.decode_batch(frame):
-                    handle(message)
-            self.abort(self.close_reason or "closed by the peer")
-        except websockets.ConnectionClosed as error:
-            self.abort(self.close_reason or f"connection lost: {error}")
+            for message in _codec.decode_batch(frame):
+                self._handle(message)
         except _codec.WireError as error:
             self._reject("malformed", error)
         except Exception as error:
             self._reject("unhandled", error)
-        finally:
-            self.abort("the handler ended")
-            if self._heartbeat_timer is not None:
-                self._heartbeat_timer.cancel()
-            writer.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await writer
 
     def _reject(self, reason: str, error: Exception) -> None:
         self._count_error(reason)
@@ -148,32 +157,27 @@
         """
         if self._heartbeat_timer is not None:
             self._heartbeat_timer.cancel()
+        if self.is_closed:
+            return
         interval_s = self._timing.interval_s
-        self._heartbeat_at = (now // interval_s + 1) * interval_s
-        self._heartbeat_timer = asyncio.get_running_loop().call_later(
-            self._heartbeat_at - now, self._wake_writer.set
-        )
+        heartbeat_at = (now // interval_s + 1) * interval_s
+        self._heartbeat_timer = self._loop.call_later(heartbeat_at - now, self._send_heartbeat)
 
-    async def _write(self, make_heartbeat: Callable[[], Any]) -> None:
-        """Send queued messages and heartbeats.
+    def _send_heartbeat(self) -> None:
+        """Send a heartbeat if one is needed, and schedule the next.
 
         A message that was sent in the last half interval replaces the heartbeat, but not for
         longer than `MAX_HEARTBEAT_GAP_S`.
         """
-        while not self.is_closed:
-            now = _clock.monotonic()
-            if now >= self._heartbeat_at:
-                if self.expire(now):
-                    return
-                if self._is_heartbeat_needed(now):
-                    self._unsent.append(make_heartbeat())
-                    self._heartbeat_sent_at = now
-                self._schedule_heartbeat(now)
-            self._wake_writer.clear()
-            if self._unsent and not await self._flush():
-                return
-            if not self._unsent:
-                await self._wake_writer.wait()
+        now = _clock.monotonic()
+        if self.expire(now):
+            return
+        is_served = self._make_heartbeat is not None
+        if is_served and self._socket.is_writable and self._is_heartbeat_needed(now):
+            self._unsent.append(self._make_heartbeat())
+            self._heartbeat_sent_at = now
+            self._flush()
+        self._schedule_heartbeat(now)
 
     def _is_heartbeat_needed(self, now: float) -> bool:
         return (
@@ -181,94 +185,101 @@
             or now - self._heartbeat_sent_at > MAX_HEARTBEAT_GAP_S
         )
 
-    async def _flush(self) -> bool:
-        messages, self._unsent = self._unsent, []
-        self._sent_at = _clock.monotonic()
-        try:
-            await self._socket.send(_codec.encode_batch(messages))
-        except websockets.ConnectionClosed as error:
-            self.abort(self.close_reason or f"connection lost: {error}")
-            return False
-        return True
+    def _flush(self) -> None:
+        """Send the queued messages, unless the peer has to read the earlier ones first."""
+        self._is_flush_scheduled = False
+        if self._unsent and not self.is_closed and self._socket.is_writable:
+            messages, self._unsent = self._unsent, []
+            self._sent_at = _clock.monotonic()
+            self._socket.send(_codec.encode_batch(messages))
 
 
 async def dial(
     address: str, handshake: _pool_wire.Handshake, count_error: Callable[[str], None]
-) -> tuple[Any, Link]:
+) -> Link:
     """Connect to `host:port` and exchange handshakes; raise `LinkError` on failure.
 
     `count_error` is called with the reason when a message of the peer is rejected.
     """
     try:
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-            socket = await websockets.connect(
-                f"ws://{address}",
-                compression=None,
-                ping_interval=None,
-                max_size=MAX_FRAME_BYTES,
-                open_timeout=HANDSHAKE_TIMEOUT_S,
-                proxy=None,
-            )
-    except (OSError, TimeoutError, websockets.WebSocketException) as error:
-        raise LinkError(f"{type(error).__name__}: {error}") from error
+            socket = await _message_socket.connect(address, MAX_FRAME_BYTES)
+    except _message_socket.CONNECTION_ERRORS as error:
+        is_refused = isinstance(error, ConnectionRefusedError)
+        raise LinkError(f"{type(error).__name__}: {error}", is_refused=is_refused) from error
     try:
-        await _send_handshake(socket, handshake)
-        KEEP_ALIVE.enable(socket.transport.get_extra_info("socket"))
-        return socket, Link(socket, await _receive_handshake(socket), count_error)
-    except LinkError:
-        socket.transport.abort()
+        socket.send(_codec.encode(handshake))
+        return Link(socket, await _receive_handshake(socket), count_error)
+    except BaseException:
+        socket.abort()
         raise
 
 
+class Listener:
+    """Accepts links; leaving the context resets all that are open."""
+
+    def __init__(self, open_server: Callable[[Callable], Awaitable[asyncio.Server]], accept):
+        self._open_server = open_server
+        self._accept = accept
+        self._task_by_socket: dict[_message_socket.MessageSocket, asyncio.Task] = {}
+
+    async def __aenter__(self) -> asyncio.Server:
+        self._server = await self._open_server(self._start_accepting)
+        return self._server
+
+    async def __aexit__(self, *_error) -> None:
+        self._server.close()
+        tasks = list(self._task_by_socket.values())
+        for socket in list(self._task_by_socket):
+            socket.abort("the process stops")
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _start_accepting(self, socket: _message_socket.MessageSocket) -> None:
+        task = asyncio.create_task(self._accept(socket))
+        self._task_by_socket[socket] = task
+        task.add_done_callback(lambda _task: self._task_by_socket.pop(socket, None))
+
+
 def listen(
     serve: Callable[[Link], Awaitable[None]],
     make_handshake: Callable[[], _pool_wire.Handshake],
     address: str,
     port: int,
     count_error: Callable[[str], None],
-):
-    """Return a server that passes each link to `serve` after exchanging handshakes.
+) -> Listener:
+    """Return a listener that passes each link to `serve` after exchanging handshakes.
 
     `count_error` is called with the reason when a handshake or a message is rejected.
     """
 
-    async def accept(socket) -> None:
-        KEEP_ALIVE.enable(socket.transport.get_extra_info("socket"))
+    async def accept(socket: _message_socket.MessageSocket) -> None:
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                await socket.wait_open()
+        except (ConnectionError, TimeoutError) as error:
+            socket.abort(f"no handshake: {error}")
+            return
         try:
             peer = await _receive_handshake(socket)
-            await _send_handshake(socket, make_handshake())
         except LinkError as error:
             count_error("handshake")
             loguru.logger.bind(reason=str(error)).warning("link refused")
-            socket.transport.abort()
+            socket.abort("handshake refused")
             return
+        socket.send(_codec.encode(make_handshake()))
         await serve(Link(socket, peer, count_error))
 
-    return websockets.serve(
+    return Listener(
+        lambda on_connected: _message_socket.listen(address, port, MAX_FRAME_BYTES, on_connected),
         accept,
-        address,
-        port,
-        compression=None,
-        ping_interval=None,
-        max_size=MAX_FRAME_BYTES,
-        open_timeout=HANDSHAKE_TIMEOUT_S,
-        close_timeout=HANDSHAKE_TIMEOUT_S,
     )
 
 
-async def _send_handshake(socket, handshake: _pool_wire.Handshake) -> None:
-    try:
-        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-            await socket.send(_codec.encode(handshake))
-    except (TimeoutError, websockets.ConnectionClosed) as error:
-        raise LinkError(f"handshake not sent: {type(error).__name__}") from error
-
-
-async def _receive_handshake(socket) -> _pool_wire.Handshake:
+async def _receive_handshake(socket: _message_socket.MessageSocket) -> _pool_wire.Handshake:
     try:
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-            message = _codec.decode(await socket.recv())
-    except (TimeoutError, websockets.ConnectionClosed, _codec.WireError) as error:
+            message = _codec.decode(await socket.receive())
+    except (TimeoutError, ConnectionError, _codec.WireError) as error:
         raise LinkError(f"no handshake received: {type(error).__name__}: {error}") from error
     if not isinstance(message, _pool_wire.Handshake):
         raise LinkError(f"expected a Handshake, found {type(message).__name__}")
--- a/src/daisyfall/platform/_entry_node.py
+++ b/src/daisyfall/platform/_entry_node.py
@@ -86,6 +86,10 @@
                 self._node_by_id[row.key] = _pool_peers.Node(row.key, found.role, found.address)
         loguru.logger.bind(nodes=len(self._node_by_id)).info("table of nodes updated")
         self._entry.peers.set_nodes(list(self._node_by_id.values()))
+        if not is_all:
+            # A process writes its row when it has started, also if its address is the same.
+            for row in rows:
+                self._entry.peers.redial(row.key)
 
 
 def _apply_configuration(entry: _pool_entry.PoolEntry, rows: list[_store.Row]) -> None:
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -320,6 +320,7 @@
                 lambda message: self._handle_incoming(peer_id, link, message),
                 lambda: self._heartbeats.for_incoming(peer_id, link),
             )
+        self.peers.redial(peer_id)
         finally:
             log = loguru.logger.bind(node=peer_id, reason=link.close_reason)
             log.info("link from an entry closed")
--- a/src/daisyfall_standins/leased_runner.py
+++ b/src/daisyfall_standins/leased_runner.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import itertools
 import json
@@ -87,6 +88,8 @@
         self.rejection_reasons: list[str] = []
         self.address = ""
         self._down_until = 0.0
+        # When the agent answered a heartbeat, in seconds on the monotonic clock.
+        self.heartbeats_read_at: collections.deque[float] = collections.deque(maxlen=100)
         self._reset()
 
     def _reset(self) -> None:
@@ -186,6 +189,7 @@
                 timeout = aiohttp.ClientTimeout(total=1)
                 async with session.post(url, json=self.heartbeat(), timeout=timeout) as reply:
                     await reply.read()
+                    self.heartbeats_read_at.append(time.monotonic())
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     def _with_checks(self, handler):
