Elect the scheduling entry once when all entries start together

Cause: an entry that started made itself the scheduling one, joined another with the first link, and a better one with the next. Each change has all waiting tasks requested again. Whether an entry had a runner yet changed the choice too, and two starting entries could choose each other.

Change: the first choice waits until all registered entries have sent a heartbeat or one says that it schedules, at most 0.15 s from the table of nodes. Until then an entry follows no one and asks no one to follow it. If all have just started, those without a runner take part. Heartbeats between entries tell that the process has just started (a field that older builds ignore).

--- a/features/pool_policy.feature
+++ b/features/pool_policy.feature
@@ -37,6 +37,26 @@
     Then entry b follows entry a within 0.2 s
     And entry b still follows entry a after 5 s
 
+  # Each change has all waiting tasks requested again, in the second after a loss of all processes.
+  Scenario Outline: entries that start at the same time elect a leader once
+    Given an entry z that starts together with a b c, which rank in this order
+    When their first heartbeats arrive in the order <order>, 0.02 s apart, before any runner
+    And each of them announces its first runner, the last one first
+    Then entry z has changed its leader once, to a
+
+    Examples:
+      | order |
+      | a b c |
+      | c b a |
+      | b a c |
+
+  Scenario: the first election doesn't wait for an entry that is not reachable
+    Given an entry z that starts together with a b c, which rank in this order
+    When their first heartbeats arrive in the order c b, 0.02 s apart, before any runner
+    Then entry z follows no one, and asks no one to follow it
+    When 0.15 s pass without another heartbeat
+    Then entry z has changed its leader once, to b
+
   Scenario: a leader is kept until a higher-ranked entry has been reachable for 2 s
     Given an entry b that has been the only entry for 60 s
     When a first heartbeat arrives from a higher-ranked entry a
--- a/features/steps/pool_links_steps.py
+++ b/features/steps/pool_links_steps.py
@@ -347,7 +347,6 @@
         peers.link_by_id[name] = link
     context.busy_agents = set()
     context.heartbeats = _entry_heartbeats.EntryHeartbeats(
-        own_id="e",
         bounds=pool_stand_ins.BOUNDS,
         leadership=leadership,
         peers=peers,
--- a/features/steps/pool_policy_steps.py
+++ b/features/steps/pool_policy_steps.py
@@ -60,12 +60,11 @@
     return pool_stand_ins.FakeLink(handshake, opened_at)
 
 
-def receive_heartbeat(context, name, *, schedules=False):
-    link = link_to(name, context.now)
-    context.links = {name: link}
-    context.leadership.record_heartbeat(
-        name, link, _pool_wire.PeerHeartbeat(True, 1, {}, schedules)
-    )
+def receive_heartbeat(context, name, *, schedules=False, started_ms=10, starts=False):
+    link = link_to(name, context.now, started_ms)
+    context.links = {**context.links, name: link}
+    heartbeat = _pool_wire.PeerHeartbeat(not starts, 1, {}, schedules, is_starting=starts)
+    context.leadership.record_heartbeat(name, link, heartbeat)
 
 
 def choose_leader(context, after_s):
@@ -83,10 +82,59 @@
 @given("an entry b that starts together with an entry a of as many cores that started first")
 def start_second(context):
     start_entry(context)
+    context.leadership.set_registered({"a", "b"}, context.now)
     context.now += 0.1
     receive_heartbeat(context, "a")
 
 
+@given("an entry z that starts together with {names}, which rank in this order")
+def start_together(context, names):
+    context.now = 100.0
+    context.links = {}
+    context.names = names.split()
+    context.leadership = _leadership.Leadership("z", 1.0, 99, context.now)
+    context.leadership.set_registered({"z", *context.names}, context.now)
+    context.leaders = []
+
+
+@when("their first heartbeats arrive in the order {names}, {seconds:g} s apart, before any runner")
+def receive_in_order(context, names, seconds):
+    for name in names.split():
+        receive_heartbeat(context, name, started_ms=context.names.index(name) + 1, starts=True)
+        context.now += seconds
+        if context.leadership.choose(context.now, context.links, is_available=False):
+            context.leaders.append(context.leadership.leader_id)
+
+
+@when("each of them announces its first runner, the last one first")
+def announce_runners(context):
+    for name in reversed(context.names):
+        heartbeat = _pool_wire.PeerHeartbeat(True, 1, {}, name == "a", is_starting=True)
+        context.leadership.record_heartbeat(name, context.links[name], heartbeat)
+        context.now += 0.05
+        if context.leadership.choose(context.now, context.links, is_available=True):
+            context.leaders.append(context.leadership.leader_id)
+
+
+@when("{seconds:g} s pass without another heartbeat")
+def pass_without_heartbeat(context, seconds):
+    context.now += seconds
+    if context.leadership.choose(context.now, context.links, is_available=True):
+        context.leaders.append(context.leadership.leader_id)
+
+
+@then("entry z has changed its leader once, to {name}")
+def check_one_change(context, name):
+    assert context.leaders == [name], context.leaders
+
+
+@then("entry z follows no one, and asks no one to follow it")
+def check_undecided(context):
+    assert not context.leaders
+    assert not context.leadership.is_leader
+    assert not context.leadership.is_scheduling(context.now)
+
+
 @given("an entry b that has been the only entry for {seconds:g} s")
 def run_alone(context, seconds):
     start_entry(context)
--- a/src/daisyfall/_pool_wire.py
+++ b/src/daisyfall/_pool_wire.py
@@ -208,8 +208,8 @@
     """Heartbeat between entries; `waiting_by_route` counts jobs without a started task.
 
     `is_scheduling` tells that the sender regards itself as the scheduling entry,
-    `follows_receiver` that it regards the receiver as the scheduling entry. The next heartbeat is
-    due after `interval_ms`.
+    `follows_receiver` that it regards the receiver as the scheduling entry, `is_starting` that its
+    process has just started. The next heartbeat is due after `interval_ms`.
     """
 
     is_available: bool
@@ -218,6 +218,7 @@
     is_scheduling: bool = False
     follows_receiver: bool = False
     interval_ms: int = 100
+    is_starting: bool = False
 
 
 @_codec.message(65)
--- a/src/daisyfall/policy/_election.py
+++ b/src/daisyfall/policy/_election.py
@@ -16,7 +16,8 @@
 class Candidate:
     """An entry as another one sees it; `cores` is its CPU quota.
 
-    `is_scheduling` tells that it considers itself the scheduling entry.
+    `is_scheduling` tells that it considers itself the scheduling entry, `is_starting` that its
+    process has just started.
     """
 
     id: str
@@ -25,15 +26,19 @@
     reachable_for_s: float
     is_available: bool
     is_scheduling: bool = False
+    is_starting: bool = False
 
 
 def choose(candidates: list[Candidate], current_id: str) -> str:
     """Return the id of the entry that schedules, `""` if none is available.
 
     The entry with the most cores wins, then the one that has run longest. The current one is kept
-    while it is available, unless a better candidate is stable or already schedules.
+    while it is available, unless a better candidate is stable or already schedules. If all
+    processes have just started, those that have no runner yet take part too: otherwise each runner
+    that announces itself could change the choice.
     """
-    available = [candidate for candidate in candidates if candidate.is_available]
+    is_first_choice = all(candidate.is_starting for candidate in candidates)
+    available = [candidate for candidate in candidates if candidate.is_available or is_first_choice]
     if not available:
         return ""
     by_id = {candidate.id: candidate for candidate in available}
@@ -50,10 +55,11 @@
 
 
 def rank(candidates: list[Candidate], own_id: str) -> int:
-    """Return how many available candidates rank above the one with this id."""
+    """Return how many candidates, available or just started, rank above the one with this id."""
     own = next(candidate for candidate in candidates if candidate.id == own_id)
     return sum(
-        candidate.is_available and _sort_key(candidate) < _sort_key(own) for candidate in candidates
+        (candidate.is_available or candidate.is_starting) and _sort_key(candidate) < _sort_key(own)
+        for candidate in candidates
     )
 
 
--- a/src/daisyfall/process/_entry_heartbeats.py
+++ b/src/daisyfall/process/_entry_heartbeats.py
@@ -17,6 +17,7 @@
     is_available: bool
     configuration_version: int
     waiting_by_route: dict[str, int]
+    is_starting: bool = False
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -26,7 +27,6 @@
     `has_tasks_at` tells whether tasks of this entry run at an agent.
     """
 
-    _own_id: str
     _bounds: _bounds.Bounds
     _leadership: _leadership.Leadership
     _peers: _pool_peers.PoolPeers
@@ -104,7 +104,8 @@
             state.is_available,
             state.configuration_version,
             state.waiting_by_route,
-            self._leadership.leader_id == self._own_id,
+            self._leadership.is_leader,
             self._leadership.leader_id == peer_id,
             round(interval_s * 1000),
+            state.is_starting,
         )
--- a/src/daisyfall/process/_leadership.py
+++ b/src/daisyfall/process/_leadership.py
@@ -26,6 +26,11 @@
 PEER_TIMEOUT_S = 3.0
 # The choice is repeated after this time even if nothing has changed, as candidates become stable.
 CHOICE_INTERVAL_S = 0.25
+# An entry that has started makes its first choice when all registered entries have sent a
+# heartbeat, or at the latest after this time: the first from the table of nodes, the second from
+# the start of the process.
+FIRST_CHOICE_S = 0.15
+FIRST_CHOICE_WITHOUT_NODES_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -35,6 +40,7 @@
     waiting_by_route: dict[str, int]
     is_scheduling: bool
     interval_s: float
+    is_starting: bool
 
 
 class Leadership:
@@ -52,6 +58,25 @@
         self._scheduling_since = float("inf")
         self._rank = 0
         self._next_choice_at = now
+        # Until the first choice, an entry neither follows another one nor asks to be followed.
+        self._has_chosen = False
+        self._registered_ids: set[str] | None = None
+        self._first_choice_until = now + FIRST_CHOICE_WITHOUT_NODES_S
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this entry has chosen itself."""
+        return self._has_chosen and self.leader_id == self._own_id
+
+    def is_starting(self, now: float) -> bool:
+        """Return whether this process has just started, and has no leader to keep."""
+        return now - self._started_at < _election.STABLE_AFTER_S
+
+    def set_registered(self, entry_ids: set[str], now: float) -> None:
+        """Set the registered entries, whose heartbeats the first choice waits for."""
+        if self._registered_ids is None:
+            self._first_choice_until = min(self._first_choice_until, now + FIRST_CHOICE_S)
+        self._registered_ids = entry_ids - {self._own_id}
 
     def record_heartbeat(
         self, peer_id: str, link: _link.Link, heartbeat: _pool_wire.PeerHeartbeat
@@ -63,6 +88,7 @@
             or previous.link is not link
             or previous.is_available != heartbeat.is_available
             or previous.is_scheduling != heartbeat.is_scheduling
+            or previous.is_starting != heartbeat.is_starting
         ):
             self._next_choice_at = float("-inf")
         self._peer_by_id[peer_id] = _PeerState(
@@ -71,6 +97,7 @@
             heartbeat.waiting_by_route,
             heartbeat.is_scheduling,
             heartbeat.interval_ms / 1000,
+            heartbeat.is_starting,
         )
 
     def remove_peer(self, peer_id: str) -> None:
@@ -121,7 +148,7 @@
 
     def is_scheduling(self, now: float) -> bool:
         """Return whether this entry needs to know the free capacity of the runners."""
-        is_needed = self.leader_id == self._own_id or now - self._last_request_at < KEEP_UPDATED_S
+        is_needed = self.is_leader or now - self._last_request_at < KEEP_UPDATED_S
         self._scheduling_since = min(self._scheduling_since, now) if is_needed else float("inf")
         return is_needed
 
@@ -135,7 +162,14 @@
 
     def choose(self, now: float, links: dict[str, _link.Link], *, is_available: bool) -> bool:
         """Choose the leader; return whether it has changed."""
+        peers = {peer_id: peer for peer_id, peer in self._peer_by_id.items() if peer_id in links}
+        if not self._has_chosen and not self._is_first_choice_due(now, peers):
+            self._next_choice_at = float("-inf")
+            return False
         self._next_choice_at = now + CHOICE_INTERVAL_S
+        has_established_leader = any(
+            peer.is_scheduling and not peer.is_starting for peer in peers.values()
+        )
         candidates = [
             _election.Candidate(
                 self._own_id,
@@ -143,26 +177,43 @@
                 self._started_ms,
                 now - self._started_at,
                 is_available,
+                self.is_leader and self.is_starting(now) and not has_established_leader,
+                self.is_starting(now),
             )
         ]
-        for peer_id, peer in self._peer_by_id.items():
-            if peer_id in links:
-                handshake = peer.link.peer
-                reachable_for_s = now - peer.link.opened_at
-                candidates.append(
-                    _election.Candidate(
-                        peer_id,
-                        handshake.cores,
-                        handshake.started_ms,
-                        reachable_for_s,
-                        peer.is_available,
-                        peer.is_scheduling,
-                    )
-                )
+        candidates += [_candidate(peer_id, peer, now) for peer_id, peer in peers.items()]
         previous_id = self.leader_id
         # An entry that has just started has no leader to keep and joins that of the others.
-        is_stable = now - self._started_at >= _election.STABLE_AFTER_S
-        chosen = _election.choose(candidates, previous_id if is_stable else "")
+        keeps_leader = not self.is_starting(now) or (
+            self._has_chosen and not has_established_leader
+        )
+        chosen = _election.choose(candidates, previous_id if keeps_leader else "")
         self.leader_id = chosen or self._own_id
+        self._has_chosen = True
         self._rank = _election.rank(candidates, self._own_id)
         return self.leader_id != previous_id
+
+    def _is_first_choice_due(self, now: float, peers: dict[str, _PeerState]) -> bool:
+        """Return whether enough of the other entries are known for the first choice.
+
+        A choice from the first links that happen to be open would be changed with the next ones,
+        and all waiting tasks requested again each time.
+        """
+        return (
+            now >= self._first_choice_until
+            or any(peer.is_scheduling for peer in peers.values())
+            or (self._registered_ids is not None and self._registered_ids <= peers.keys())
+        )
+
+
+def _candidate(peer_id: str, peer: _PeerState, now: float) -> _election.Candidate:
+    handshake = peer.link.peer
+    return _election.Candidate(
+        peer_id,
+        handshake.cores,
+        handshake.started_ms,
+        now - peer.link.opened_at,
+        peer.is_available,
+        peer.is_scheduling,
+        peer.is_starting,
+    )
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -53,7 +53,6 @@
         )
         self._incoming_by_id: dict[str, _link.Link] = {}
         self._heartbeats = _entry_heartbeats.EntryHeartbeats(
-            own_id=settings.id,
             bounds=settings.bounds,
             leadership=self._leadership,
             peers=self.peers,
@@ -242,6 +241,8 @@
         if not changed:
             return
         loguru.logger.bind(leader=self._leadership.leader_id).info("scheduling entry changed")
+        if self.peers.are_nodes_known:
+            self._leadership.set_registered(self.peers.ids(_pool_wire.ROLE_ENTRY), now)
         for job_id in self._jobs.waiting_job_ids():
             self._withdraw(job_id, previous_id)
         self._jobs.request_placement_again()
@@ -319,8 +320,8 @@
             await link.serve(
                 lambda message: self._handle_incoming(peer_id, link, message),
                 lambda: self._heartbeats.for_incoming(peer_id, link),
-            )
         self.peers.redial(peer_id)
+            )
         finally:
             log = loguru.logger.bind(node=peer_id, reason=link.close_reason)
             log.info("link from an entry closed")
