Import the Prometheus library at the first scrape only

Cause: its import takes 30 ms of processor time at each start, and each tick of an entry set four gauges.

Change: the metrics of the pool dispatcher are plain numbers, which a collector passes to Prometheus when they are read; gauges are read then too. Names, types and labels are as before.

--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -71,6 +71,7 @@
             on_dispatch=self._heartbeats.update_agent,
             dial=self.peers.redial,
         )
+        metrics.set_state_source(self._state_quantities)
         self._is_draining = False
         self._timing_updated_at = float("-inf")
         self._pause_detector = _pause_detector.PauseDetector(self._reset_links)
@@ -146,12 +147,14 @@
             self._heartbeats.update(now)
         self._placement.advance()
         self._jobs.expire(now)
-        self.metrics.set_state(
-            jobs=len(self._jobs),
-            queued=self._placement.queued,
-            links=len(self.peers.link_by_id),
-            configuration_version=self.shared.version,
-        )
+
+    def _state_quantities(self) -> dict[str, float]:
+        return {
+            "jobs": len(self._jobs),
+            "queued": self._placement.queued,
+            "links": len(self.peers.link_by_id),
+            "configuration_version": self.shared.version,
+        }
 
     def _reset_links(self, _pause_s: float) -> None:
         """Reset all links after a pause; tasks that agents stopped meanwhile are placed again."""
@@ -238,12 +241,12 @@
     def _update_leader(self, now: float) -> None:
         """Choose the leader; move waiting placement requests from the previous one to it."""
         previous_id = self._leadership.leader_id
+        if self.peers.are_nodes_known:
+            self._leadership.set_registered(self.peers.ids(_pool_wire.ROLE_ENTRY), now)
         changed = self._leadership.choose(now, self._entry_links(), is_available=self._is_available)
         if not changed:
             return
         loguru.logger.bind(leader=self._leadership.leader_id).info("scheduling entry changed")
-        if self.peers.are_nodes_known:
-            self._leadership.set_registered(self.peers.ids(_pool_wire.ROLE_ENTRY), now)
         for job_id in self._jobs.waiting_job_ids():
             self._withdraw(job_id, previous_id)
         self._jobs.request_placement_again()
@@ -317,11 +320,11 @@
         self._incoming_by_id[peer_id] = link
         self._heartbeats.set_incoming_timing(peer_id, link)
         self.shared.send_to_entry(link)
+        self.peers.redial(peer_id)
         try:
             await link.serve(
                 lambda message: self._handle_incoming(peer_id, link, message),
                 lambda: self._heartbeats.for_incoming(peer_id, link),
-        self.peers.redial(peer_id)
             )
         finally:
             log = loguru.logger.bind(node=peer_id, reason=link.close_reason)
@@ -360,10 +363,12 @@
         self.metrics.count_link_error(reason)
 
     def _describe_state(self) -> _entry_heartbeats.EntryState:
+        is_starting = self._leadership.is_starting(_clock.monotonic())
         return _entry_heartbeats.EntryState(
             self._is_available,
             self.shared.version,
             self._jobs.waiting_by_route(),
+            is_starting and not self._is_draining,
         )
 
     def _entry_links(self) -> dict[str, _link.Link]:
--- a/src/daisyfall/process/_pool_metrics.py
+++ b/src/daisyfall/process/_pool_metrics.py
@@ -1,6 +1,8 @@
 """Prometheus metrics of the pool dispatcher; labels take values of fixed sets only."""
 
-from daisyfall.process import _metric_families
+from collections.abc import Callable
+
+from daisyfall.process import _deferred_metrics
 
 # Histogram buckets in seconds, from one network hop to the longest deadline.
 _TIME_BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
@@ -8,7 +10,7 @@
 MAX_LABEL_VALUES = 40
 
 
-class PoolMetrics(_metric_families.MetricFamilies):
+class PoolMetrics(_deferred_metrics.DeferredMetrics):
     """All metrics of one entry or agent."""
 
     def __init__(self):
@@ -33,13 +35,13 @@
         self._first_start = self._histogram(
             "pool_first_start_seconds", "Time to the first order", _TIME_BUCKETS
         )
-        self._state = self._gauge("pool_state", "State by quantity", "quantity")
+        self._state = self._gauges("pool_state", "State by quantity", "quantity", dict)
         self._dropped_lines = self._counter("pool_dropped_log_lines", "Log lines over the budget")
 
     def observe_answer(self, outcome: str, seconds: float) -> None:
         """Count one answer and record the time since its request was read."""
-        self._with_label(self._answers, outcome).inc()
-        self._with_label(self._latency, outcome).observe(seconds)
+        self._answers.add(outcome)
+        self._latency.observe(seconds, outcome)
 
     def observe_first_start(self, seconds: float) -> None:
         """Record the time between a request and the first start order of its tasks."""
@@ -47,37 +49,36 @@
 
     def count_retries(self, reason: str) -> None:
         """Count one task that is placed again after a failed attempt."""
-        self._with_label(self._retries, reason).inc()
+        self._retries.add(reason)
 
     def count_refusal(self, reason: str) -> None:
         """Count one refused job."""
-        self._with_label(self._refusals, reason).inc()
+        self._refusals.add(reason)
 
     def count_task_end(self, outcome: str) -> None:
         """Count one ended task; refusals by the agent are included."""
-        self._with_label(self._task_ends, outcome).inc()
+        self._task_ends.add(outcome)
 
     def count_start_answer(self, answer: str) -> None:
         """Count one answer of the runner to a start order."""
-        self._with_label(self._start_answers, answer).inc()
+        self._start_answers.add(answer)
 
     def count_renewal_failure(self, reason: str) -> None:
         """Count one failed lease renewal."""
-        self._with_label(self._renewal_failures, reason).inc()
+        self._renewal_failures.add(reason)
 
     def count_store_error(self, reason: str) -> None:
         """Count one failed call to the store."""
-        self._with_label(self._store_errors, reason).inc()
+        self._store_errors.add(reason)
 
     def count_link_error(self, reason: str) -> None:
         """Count one rejected handshake or message of a peer."""
-        self._with_label(self._link_errors, reason).inc()
+        self._link_errors.add(reason)
 
     def count_dropped_lines(self, count: int) -> None:
         """Count dropped log lines."""
-        self._dropped_lines.inc(count)
+        self._dropped_lines.add("", count)
 
-    def set_state(self, **value_by_quantity: float) -> None:
-        """Set gauges such as `queued` or `configuration_version`."""
-        for quantity, value in value_by_quantity.items():
-            self._state.labels(quantity).set(value)
+    def set_state_source(self, describe: Callable[[], dict[str, float]]) -> None:
+        """Set the function that returns gauges such as `queued` or `configuration_version`."""
+        self._state.read = describe
