Answer jobs as soon as waiting on can't help them, and bound the work of one loop turn

Cause: a job whose placement is never answered, or whose remaining run time no longer fits, held its caller to the deadline; an entry accepted whatever came; the requests of a burst, the messages of one frame and all requests after a change of the scheduling entry were handled in one iteration of the event loop. After a change of the scheduling entry the most urgent jobs are requested first. A job is late for at most three times its objective.

--- a/features/steps/pool_work_steps.py
+++ b/features/steps/pool_work_steps.py
@@ -1,6 +1,7 @@
 """Steps for the jobs of an entry; the links to agents only record the messages that are sent."""
 
 import asyncio
+import random
 
 import attrs
 import event_loop
@@ -40,7 +41,9 @@
 
 def make_manager(context):
     metrics = _pool_metrics.PoolMetrics()
-    context.manager = _pool_job_manager.PoolJobManager("e", pool_stand_ins.BOUNDS, metrics)
+    context.manager = _pool_job_manager.PoolJobManager(
+        "e", pool_stand_ins.BOUNDS, metrics, random.Random(1)
+    )
     context.placed = []
     context.link = link_to("life-1")
     context.manager.set_callbacks(
@@ -144,7 +147,7 @@
 
 @when("the entry must exit in {seconds:g} s")
 def set_shutdown_deadline(context, seconds):
-    context.manager.set_shutdown_deadline(_clock.monotonic() + seconds)
+    context.manager.limits.set_shutdown_deadline(_clock.monotonic() + seconds)
 
 
 @then("a job of {ms:d} ms is accepted")
--- a/src/daisyfall/connection/_link.py
+++ b/src/daisyfall/connection/_link.py
@@ -17,7 +17,7 @@
 import websockets
 
 from daisyfall import _clock, _codec, _pool_wire
-from daisyfall.connection import _keep_alive
+from daisyfall.connection import _keep_alive, _loop_turns
 
 HANDSHAKE_TIMEOUT_S = 1.0
 # Bounds the memory that is used for a peer that does not read.
@@ -61,6 +61,7 @@
         self._heartbeat_sent_at = float("-inf")
         self._heartbeat_timer: asyncio.TimerHandle | None = None
         self._wake_writer = asyncio.Event()
+        self._turns = _loop_turns.LoopTurns()
 
     def send(self, message: Any) -> None:
         """Queue a message; those queued in one event loop iteration share a frame."""
@@ -118,6 +119,9 @@
                     break
                 self.last_received_at = _clock.monotonic()
                 for message in _codec.decode_batch(frame):
+                    await self._turns.wait()
+                    if self.is_closed:
+                        break
                     handle(message)
             self.abort(self.close_reason or "closed by the peer")
         except websockets.ConnectionClosed as error:
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -8,7 +8,7 @@
 import loguru
 
 from daisyfall import _clock, _pool_wire
-from daisyfall.connection import _link
+from daisyfall.connection import _link, _loop_turns
 from daisyfall.policy import _job_queue
 from daisyfall.process import (
     _entry_heartbeats,
@@ -46,7 +46,7 @@
         self.metrics = metrics
         self.peers = _pool_peers.PoolPeers(settings.id, self)
         self.shared = _shared_state.SharedState(self.peers, decode_configuration, metrics)
-        self._jobs = _pool_job_manager.PoolJobManager(settings.id, settings.bounds, metrics)
+        self._jobs = _pool_job_manager.PoolJobManager(settings.id, settings.bounds, metrics, rng)
         self._placement = _placement_service.PlacementService(rng, self._deliver)
         self._leadership = _leadership.Leadership(
             settings.id, settings.cores, settings.started_ms, _clock.monotonic()
@@ -71,7 +71,10 @@
             },
             on_dispatch=self._heartbeats.update_agent,
         )
+        self._turns = _loop_turns.LoopTurns()
+        self._requesting_again: asyncio.Task | None = None
         self._is_draining = False
+        self._ticked_at = _clock.monotonic()
         self._timing_updated_at = float("-inf")
         self._pause_detector = _pause_detector.PauseDetector(self._reset_links)
 
@@ -107,7 +110,7 @@
         loguru.logger.bind(jobs=len(self._jobs)).info("entry is stopping")
         started = _clock.monotonic()
         limit = started + self.settings.max_drain_s
-        self._jobs.set_shutdown_deadline(limit)
+        self._jobs.limits.set_shutdown_deadline(limit)
         listen_until = started + self.settings.drain_delay_s
         while _clock.monotonic() < limit and (self._jobs or _clock.monotonic() < listen_until):
             await asyncio.sleep(DRAIN_POLL_S)
@@ -145,6 +148,8 @@
             self._timing_updated_at = now
             self._heartbeats.update(now)
         self._placement.advance()
+        self._jobs.limits.observe(now, now - self._ticked_at - TICK_S)
+        self._ticked_at = now
         self._jobs.expire(now)
         self.metrics.set_state(
             jobs=len(self._jobs),
@@ -173,16 +178,18 @@
         """Return by how many seconds a request may be older than its time of arrival shows.
 
         After a pause of the process, requests from the socket buffers are delayed until it is
-        known whether their connections were closed, as that is read after the requests.
+        known whether their connections were closed, as that is read after the requests. Many
+        requests that arrive at once are spread over several iterations of the event loop.
         """
         pause_s = self._pause_detector.recent_pause_s(AFTER_PAUSE_S)
         if pause_s:
             await asyncio.sleep(AFTER_PAUSE_S)
+        await self._turns.wait()
         return pause_s
 
     def waiting_jobs(self, route: str) -> int:
         """Return how many jobs of a route have no started task, at all entries."""
-        own = self._jobs.waiting_by_route().get(route, 0)
+        own = self._jobs.limits.waiting_by_route().get(route, 0)
         return own + self._leadership.waiting_jobs_of_peers(route)
 
     def has_job(self, job_id: str) -> bool:
@@ -242,12 +249,20 @@
         if not changed:
             return
         loguru.logger.bind(leader=self._leadership.leader_id).info("scheduling entry changed")
-        for job_id in self._jobs.waiting_job_ids():
+        job_ids = self._jobs.waiting_job_ids()
+        for job_id in job_ids:
             self._withdraw(job_id, previous_id)
-        self._jobs.request_placement_again()
+        if self._requesting_again is not None:
+            self._requesting_again.cancel()
+        self._requesting_again = asyncio.create_task(self._request_again(job_ids, now))
         self._heartbeats.update(now)
         self._heartbeats.broadcast()
 
+    async def _request_again(self, job_ids: list[str], changed_at: float) -> None:
+        for job_id in job_ids:
+            await self._turns.wait()
+            self._jobs.request_placement_again(job_id, changed_at)
+
     # Links that this entry dialled.
 
     def handshake(self, node: _pool_peers.Node) -> _pool_wire.Handshake:
@@ -360,7 +375,7 @@
         return _entry_heartbeats.EntryState(
             self._is_available,
             self.shared.version,
-            self._jobs.waiting_by_route(),
+            self._jobs.limits.waiting_by_route(),
         )
 
     def _entry_links(self) -> dict[str, _link.Link]:
--- /dev/null
+++ b/src/daisyfall/request/_job_limits.py
@@ -0,0 +1,153 @@
+"""Jobs that an entry answers before they are complete, by the limits of `policy/_entry_limits`."""
+
+import collections
+import math
+import random
+from collections.abc import Iterable, Iterator
+
+import loguru
+
+from daisyfall.policy import _entry_limits
+from daisyfall.request import _pool_jobs
+
+# Run times vary: an entry that shuts down accepts a job only if this many times its expected
+# time is left.
+SHUTDOWN_TIME_FACTOR = 1.5
+# Retry hint for the jobs that it refuses; other entries can serve them at once.
+SHUTDOWN_RETRY_AFTER_S = 1.0
+STOPPING = "stopping"
+DEADLINE = "deadline"
+# The entry has stopped refusing at the door once it has accepted all jobs for this time.
+DOOR_QUIET_S = 1.0
+_OWN_REASONS = frozenset(
+    {_entry_limits.ENTRY_FULL, _entry_limits.NO_REPLY, _entry_limits.OUT_OF_TIME, STOPPING}
+)
+
+Ended = tuple[_pool_jobs.Job, _pool_jobs.Answer]
+
+
+class JobLimits:
+    """Tracks the jobs that wait for their first start, and decides which are answered early.
+
+    The caller ends the jobs that the methods return. A job is refused only if nothing of it has
+    been dispatched; otherwise it is given up, as it may have run.
+    """
+
+    def __init__(self, rng: random.Random, now: float):
+        self._rng = rng
+        self._door = _entry_limits.DoorLimit(now)
+        self._reply_times = _entry_limits.ReplyTimes()
+        self._waiting_by_id: dict[str, _pool_jobs.Job] = {}
+        self._shutdown_deadline = math.inf
+        self._door_refusals = 0
+        self._refused_at = -math.inf
+
+    def set_shutdown_deadline(self, deadline: float) -> None:
+        """Refuse new jobs that can't end before this time (monotonic clock, in seconds)."""
+        self._shutdown_deadline = deadline
+
+    def observe(self, now: float, lag_s: float) -> None:
+        """Record by how much the event loop is behind its timers; called periodically."""
+        self._door.observe(now, len(self._waiting_by_id), lag_s)
+        if self._door_refusals and now - self._refused_at > DOOR_QUIET_S:
+            log = loguru.logger.bind(refused=self._door_refusals)
+            log.info("entry accepts all jobs again")
+            self._door_refusals = 0
+
+    def add(self, job: _pool_jobs.Job, now: float) -> Ended | None:
+        """Add a new job; return the job that is refused for it, which may be the new one."""
+        refusal = self._refuse_on_arrival(job, now)
+        if refusal is not None:
+            return job, refusal
+        self._door.record_arrival(job.late_deadline - now)
+        self._waiting_by_id[job.id] = job
+        waiting = len(self._waiting_by_id)
+        if waiting <= self._door.max_waiting():
+            return None
+        least_urgent = max(self._waiting_by_id.values(), key=urgency)
+        self._note_door_refusal(waiting, now)
+        after_s = self._door.retry_after_s(
+            waiting,
+            least_urgent.submission.route.priority,
+            least_urgent.latest_start - now,
+            self._rng.random(),
+        )
+        return least_urgent, _refused(_entry_limits.ENTRY_FULL, after_s)
+
+    def record_request(self, job: _pool_jobs.Job, now: float) -> None:
+        """Record that placement of some of a job's tasks is requested."""
+        job.requested_at = now
+
+    def record_placement(self, job: _pool_jobs.Job, now: float) -> None:
+        """Record a placement that arrived for a job."""
+        if not job.has_dispatched:
+            self._reply_times.record(now - job.requested_at, now)
+
+    def record_start(self, job: _pool_jobs.Job) -> None:
+        """Record that a task of a job is dispatched."""
+        if self._waiting_by_id.pop(job.id, None) is not None:
+            self._door.record_start()
+
+    def remove(self, job: _pool_jobs.Job, answer: _pool_jobs.Answer) -> None:
+        """Remove a job that has ended."""
+        if self._waiting_by_id.pop(job.id, None) is None:
+            return
+        # What the entry itself refuses shows nothing of the rate at which jobs get their answers.
+        is_own = answer.reason in _OWN_REASONS or answer.outcome is _pool_jobs.Outcome.CANCELLED
+        if not is_own:
+            self._door.record_start()
+
+    def due(self, jobs: Iterable[_pool_jobs.Job], now: float) -> Iterator[Ended]:
+        """Yield the jobs for which waiting on can't help, with their answers."""
+        reply_s = self._reply_times.allowance_s(now)
+        for job in jobs:
+            if now > job.answer_by:
+                yield job, give_up(job, DEADLINE)
+            elif now + job.critical_path_s > job.answer_by and (
+                now + job.remaining_s(now) > job.answer_by
+            ):
+                yield job, give_up(job, _entry_limits.OUT_OF_TIME)
+            elif not job.has_dispatched and now > _reply_due_at(job, reply_s):
+                after_s = _entry_limits.spread_s(reply_s, self._rng.random())
+                yield job, _refused(_entry_limits.NO_REPLY, after_s)
+
+    def waiting_by_route(self) -> dict[str, int]:
+        """Return, by route, the number of jobs without a dispatched task."""
+        names = (job.submission.route.name for job in self._waiting_by_id.values())
+        return dict(collections.Counter(names))
+
+    def _refuse_on_arrival(self, job: _pool_jobs.Job, now: float) -> _pool_jobs.Answer | None:
+        if now + SHUTDOWN_TIME_FACTOR * job.critical_path_s > self._shutdown_deadline:
+            return _refused(STOPPING, SHUTDOWN_RETRY_AFTER_S)
+        if now + job.critical_path_s > job.answer_by:
+            return _refused(_entry_limits.OUT_OF_TIME, 0.0)
+        return None
+
+    def _note_door_refusal(self, waiting: int, now: float) -> None:
+        if not self._door_refusals:
+            log = loguru.logger.bind(waiting=waiting, limit=round(self._door.max_waiting()))
+            log.warning("entry refuses jobs at the door")
+        self._door_refusals += 1
+        self._refused_at = now
+
+
+def give_up(job: _pool_jobs.Job, reason: str) -> _pool_jobs.Answer:
+    """Return the answer for a job that can't be completed; it tells whether it may have run."""
+    outcome = _pool_jobs.Outcome.GIVEN_UP if job.has_dispatched else _pool_jobs.Outcome.REFUSED
+    return _pool_jobs.Answer(outcome, reason)
+
+
+def urgency(job: _pool_jobs.Job) -> tuple[int, float]:
+    """Return the position of a job among those that wait, the most urgent first."""
+    return (job.submission.route.priority, job.latest_start)
+
+
+def _refused(reason: str, retry_after_s: float) -> _pool_jobs.Answer:
+    return _pool_jobs.Answer(_pool_jobs.Outcome.REFUSED, reason, retry_after_s)
+
+
+def _reply_due_at(job: _pool_jobs.Job, reply_s: float) -> float:
+    half_time = job.deadline - job.submission.wait_s / 2
+    return _entry_limits.reply_due_at(
+        job.requested_at, job.latest_start, job.late_deadline, half_time, reply_s
+    )
--- a/src/daisyfall/request/_pool_job_manager.py
+++ b/src/daisyfall/request/_pool_job_manager.py
@@ -1,7 +1,7 @@
 """Jobs in progress at a pool entry: placement, dispatch, retries and the answer to the caller."""
 
 import asyncio
-import math
+import random
 from collections.abc import Callable
 
 import loguru
@@ -10,19 +10,19 @@
 from daisyfall.connection import _link
 from daisyfall.policy import _bounds, _job_queue, _runner_crashes
 from daisyfall.process import _pool_metrics
-from daisyfall.request import _dispatched_tasks, _estimates, _pending_answers, _pool_jobs
+from daisyfall.request import (
+    _dispatched_tasks,
+    _estimates,
+    _job_limits,
+    _pending_answers,
+    _pool_jobs,
+)
 
 # How long an agent may queue a task whose capacity on the runner is not free yet.
 AGENT_QUEUE_WAIT_MS = 100
 # How long a disconnected agent has to reconnect. After that, jobs with tasks there are given up if
 # the tasks could not be run again in time.
 RECONNECT_TIMEOUT_S = 0.4
-# Run times vary: an entry that shuts down accepts a job only if this many times its expected
-# time is left.
-SHUTDOWN_TIME_FACTOR = 1.5
-# Retry hint for the jobs that it refuses; other entries can serve them at once.
-SHUTDOWN_RETRY_AFTER_S = 1.0
-STOPPING = "stopping"
 CRASHES_RUNNERS = "crashes_runners"
 # Reasons for which the same agent may be tried again, as they don't indicate a faulty runner.
 SAME_AGENT_RETRY_REASONS = frozenset({"no_room", "old_run", "late", "fenced", "delayed"})
@@ -37,7 +37,13 @@
     is called with the id of the agent before a task is sent to it.
     """
 
-    def __init__(self, entry_id: str, bounds: _bounds.Bounds, metrics: _pool_metrics.PoolMetrics):
+    def __init__(
+        self,
+        entry_id: str,
+        bounds: _bounds.Bounds,
+        metrics: _pool_metrics.PoolMetrics,
+        rng: random.Random,
+    ):
         self._entry_id = entry_id
         self._bounds = bounds
         self._metrics = metrics
@@ -48,7 +54,7 @@
         self._unreconciled_agents: set[str] = set()
         self._dispatched = _dispatched_tasks.DispatchedTasks()
         self._estimates = _estimates.Estimates()
-        self._shutdown_deadline = math.inf
+        self.limits = _job_limits.JobLimits(rng, _clock.monotonic())
 
     def set_callbacks(
         self,
@@ -187,31 +193,31 @@
         self._disconnected_at_by_agent.setdefault(agent_id, now)
 
     def waiting_job_ids(self) -> list[str]:
-        """Return the ids of the jobs that have tasks waiting for placement."""
-        return [job.id for job in self._job_by_id.values() if job.waiting()]
-
-    def request_placement_again(self) -> None:
-        """Request placement again for all waiting tasks, after the scheduling entry changed."""
-        for job in [
-            waiting_job for waiting_job in self._job_by_id.values() if waiting_job.waiting()
-        ]:
-            self._request_placement(job, job.waiting())
+        """Return the ids of the jobs that have tasks waiting for placement, most urgent first."""
+        waiting = [job for job in self._job_by_id.values() if job.waiting()]
+        return [job.id for job in sorted(waiting, key=_job_limits.urgency)]
 
-    def set_shutdown_deadline(self, deadline: float) -> None:
-        """Refuse new jobs that can't end before this time (monotonic clock, in seconds)."""
-        self._shutdown_deadline = deadline
+    def request_placement_again(self, job_id: str, changed_at: float) -> None:
+        """Request placement again, as the scheduling entry changed at `changed_at`."""
+        job = self._job_by_id.get(job_id)
+        if job is None:
+            return
+        if job.requested_at > changed_at:
+            # A part of its tasks was requested from the new scheduling entry meanwhile.
+            self._withdraw(job.id)
+        self._request_placement(job, job.waiting())
 
     def give_up_all(self) -> None:
         """End all jobs because the process exits."""
         for job in list(self._job_by_id.values()):
-            self._give_up(job, STOPPING)
+            self._give_up(job, _job_limits.STOPPING)
 
     def expire(self, now: float) -> None:
         """Handle time-outs of agents and jobs.
 
         Tasks of a disconnected agent are placed again once they can't run there any more. A job
-        that could not be run again in time is given up earlier, and every job is given up
-        shortly before its deadline.
+        that could not be run again in time is given up earlier, and every other job as soon as
+        waiting on can't help it, at the latest shortly before its deadline.
         """
         for agent_id, disconnected_at in list(self._disconnected_at_by_agent.items()):
             is_fenced = now > disconnected_at + self._bounds.fenced_after_s
@@ -226,9 +232,8 @@
                     self._give_up(job, "agent_lost")
             if is_fenced:
                 del self._disconnected_at_by_agent[agent_id]
-        for job in list(self._job_by_id.values()):
-            if now > job.deadline - _pool_jobs.ANSWER_MARGIN_S:
-                self._give_up(job, "deadline")
+        for job, answer in self.limits.due(list(self._job_by_id.values()), now):
+            self._finish(job, answer)
 
     def tasks_at(self, agent_id: str) -> list[tuple[_pool_jobs.Job, _pool_jobs.Task]]:
         """Return the tasks dispatched to an agent that have not ended."""
@@ -238,15 +243,6 @@
         """Return whether any task dispatched to an agent has not ended."""
         return self._dispatched.has_any(agent_id)
 
-    def waiting_by_route(self) -> dict[str, int]:
-        """Return, by route, the number of jobs without a dispatched task."""
-        count_by_route: dict[str, int] = {}
-        for job in self._job_by_id.values():
-            if not job.has_dispatched:
-                name = job.submission.route.name
-                count_by_route[name] = count_by_route.get(name, 0) + 1
-        return count_by_route
-
     def start_job(self, submission: _pool_jobs.Submission) -> asyncio.Future:
         """Accept a job and request its first placements; return the future of its answer."""
         now = _clock.monotonic()
@@ -268,11 +264,10 @@
             wait_ms=round(submission.wait_s * 1000),
             **self._describe(),
         ).info("job taken")
-        critical_path_s = _pool_jobs.expected_critical_path_ms(submission.steps, expected_ms) / 1000
-        if now + SHUTDOWN_TIME_FACTOR * critical_path_s > self._shutdown_deadline:
-            answer = _pool_jobs.Answer(_pool_jobs.Outcome.REFUSED, STOPPING, SHUTDOWN_RETRY_AFTER_S)
-            self._finish(job, answer)
-        else:
+        refused = self.limits.add(job, now)
+        if refused is not None:
+            self._finish(*refused)
+        if job.id in self._job_by_id:
             self._request_placement(job, job.unblock())
         return future
 
@@ -281,12 +276,14 @@
         if any(self._crashes.is_given_up(task.name) for task in tasks):
             self._finish(job, _pool_jobs.Answer(_pool_jobs.Outcome.FAILED, CRASHES_RUNNERS))
         elif tasks:
+            self.limits.record_request(job, _clock.monotonic())
             self._place(job.request_placement(tasks, self._entry_id))
 
     def _dispatch(self, job: _pool_jobs.Job, placed: _pool_wire.TasksPlaced) -> None:
         if placed.request_id not in job.request_ids:
             return
         now = _clock.monotonic()
+        self.limits.record_placement(job, now)
         unreachable = []
         agent_by_run: dict[str, str] = {}
         for name, agent_id in placed.agent_by_task.items():
@@ -301,6 +298,7 @@
                 continue
             if not job.has_dispatched:
                 self._metrics.observe_first_start(now - job.arrived_at)
+                self.limits.record_start(job)
             run_request = job.dispatch(task, agent_id, AGENT_QUEUE_WAIT_MS, round(now * 1000))
             self._dispatched.add(job, task)
             self._on_dispatch(agent_id)
@@ -359,13 +357,12 @@
             self._give_up(job, reason)
 
     def _give_up(self, job: _pool_jobs.Job, reason: str) -> None:
-        """End a job that can't be completed; the outcome tells whether it may have run."""
-        outcome = _pool_jobs.Outcome.GIVEN_UP if job.has_dispatched else _pool_jobs.Outcome.REFUSED
-        self._finish(job, _pool_jobs.Answer(outcome, reason))
+        self._finish(job, _job_limits.give_up(job, reason))
 
     def _finish(self, job: _pool_jobs.Job, answer: _pool_jobs.Answer) -> None:
         if self._job_by_id.pop(job.id, None) is None:
             return
+        self.limits.remove(job, answer)
         for task in job.dispatched():
             self._dispatched.remove(task)
             link = self._link_to(task.agent_id)
@@ -385,4 +382,4 @@
         self, job: _pool_jobs.Job, task: _pool_jobs.Task, disconnected_at: float
     ) -> bool:
         fenced_at = disconnected_at + self._bounds.fenced_after_s
-        return fenced_at + task.expected_ms / 1000 < job.deadline - _pool_jobs.ANSWER_MARGIN_S
+        return fenced_at + task.expected_ms / 1000 < job.answer_by
--- a/src/daisyfall/request/_pool_jobs.py
+++ b/src/daisyfall/request/_pool_jobs.py
@@ -5,7 +5,7 @@
 import attrs
 
 from daisyfall import _pool_wire
-from daisyfall.policy import _job_queue, _runner_capacity
+from daisyfall.policy import _entry_limits, _job_queue, _runner_capacity
 from daisyfall.version import _routes
 
 # How many of the agents where a task last failed are avoided when it is placed again.
@@ -17,6 +17,8 @@
 # Fraction of a caller's time that a job may wait for its first start. A refusal after that would
 # leave the caller too little time for another attempt.
 MAX_LATE_WAIT_FRACTION = 0.45
+# A job that ends later than this many times its objective is of no use to its caller.
+MAX_LATE_FACTOR = 3.0
 # A runner rejects a run number that is not above an earlier one of the same task. After a
 # rejection the number is raised by the larger step.
 RUN_STEP = 1
@@ -88,6 +90,7 @@
     `failures` counts failed runs. `run` is the number of the run that was dispatched last,
     `agent_incarnation` the incarnation of the agent it went to in `pool`. `request_id` is the last
     placement request; `was_rescheduled` is set once an agent ended the task as a straggler.
+    `dispatched_at` is in seconds on the monotonic clock.
     """
 
     name: str
@@ -102,13 +105,16 @@
     avoid: tuple[str, ...] = ()
     request_id: str = ""
     was_rescheduled: bool = False
+    dispatched_at: float = 0.0
 
 
 @attrs.define(slots=True, eq=False)
 class Job:
     """One job; times are in seconds on the monotonic clock.
 
-    `late_deadline` is until when it may wait for its first start if no capacity is there.
+    `late_deadline` is until when it may wait for its first start if no capacity is there,
+    `critical_path_s` the expected time of its longest chain of steps, `requested_at` when placement
+    of any of its tasks was requested last.
     `requests` counts placement requests, `request_ids` are those for the pool of the present route.
     `has_dispatched` is set once a task was dispatched.
     """
@@ -119,6 +125,8 @@
     latest_start: float
     late_deadline: float
     deadline: float
+    critical_path_s: float
+    requested_at: float
     requests: int = 0
     request_ids: set[str] = attrs.Factory(set)
     has_dispatched: bool = False
@@ -129,6 +137,11 @@
         """Return the job id that the caller chose."""
         return self.submission.job_id
 
+    @property
+    def answer_by(self) -> float:
+        """Return when the answer has to be sent so that it reaches the caller in time."""
+        return self.deadline - ANSWER_MARGIN_S
+
     @property
     def is_done(self) -> bool:
         """Return whether all tasks are done."""
@@ -170,7 +183,7 @@
         for task in tasks:
             task.request_id = request_id
         longest_s = max(task.expected_ms for task in tasks) / 1000
-        start_deadline = self.deadline - longest_s - ANSWER_MARGIN_S
+        start_deadline = self.answer_by - longest_s
         return _job_queue.TaskBatch(
             id=request_id,
             entry_id=entry_id,
@@ -213,6 +226,7 @@
         task.agent_id = agent_id
         task.pool = self.submission.route.pool
         task.run += RUN_STEP
+        task.dispatched_at = sent_ms / 1000
         self.has_dispatched = True
         return _pool_wire.RunTask(
             task.name,
@@ -239,7 +253,25 @@
     def can_meet_deadline(self, now: float) -> bool:
         """Return whether all waiting tasks, if placed now, could end before the deadline."""
         longest_ms = max((task.expected_ms for task in self.waiting()), default=0.0)
-        return now + longest_ms / 1000 < self.deadline - ANSWER_MARGIN_S
+        return now + longest_ms / 1000 < self.answer_by
+
+    def remaining_s(self, now: float) -> float:
+        """Return the least time that the unfinished steps are expected to take."""
+        left_ms = [0.0] * len(self.submission.steps)
+        for task in self.task_by_name.values():
+            left_ms[task.step] = max(left_ms[task.step], _remaining_ms(task, now))
+        return expected_critical_path_ms(self.submission.steps, left_ms) / 1000
+
+
+def _remaining_ms(task: Task, now: float) -> float:
+    match task.phase:
+        case Phase.DONE:
+            return 0.0
+        case Phase.DISPATCHED:
+            running_for_ms = (now - task.dispatched_at) * 1000
+            return _entry_limits.remaining_run_ms(task.expected_ms, running_for_ms)
+        case Phase.BLOCKED | Phase.WAITING:
+            return task.expected_ms
 
 
 def new_job(submission: Submission, expected_ms: list[float], now: float) -> Job:
@@ -249,15 +281,22 @@
         for index in range(step.count):
             name = f"{submission.job_id}.{step_index}.{index}"
             task_by_name[name] = Task(name, step_index, Phase.BLOCKED, expected_ms[step_index])
-    critical_path_ms = expected_critical_path_ms(submission.steps, expected_ms)
+    critical_path_s = expected_critical_path_ms(submission.steps, expected_ms) / 1000
     route = submission.route
-    slack_s = (
-        (route.stretch - 1) * critical_path_ms + route.target_latency_ms
-    ) / 1000 - START_MARGIN_S
+    objective_s = route.stretch * critical_path_s + route.target_latency_ms / 1000
+    slack_s = objective_s - critical_path_s - START_MARGIN_S
+    late_slack_s = MAX_LATE_FACTOR * objective_s - critical_path_s - START_MARGIN_S
     deadline = now + submission.wait_s
-    latest_start = min(now + slack_s, deadline - critical_path_ms / 1000 - ANSWER_MARGIN_S)
-    late_deadline = now + MAX_LATE_WAIT_FRACTION * submission.wait_s
-    return Job(submission, now, task_by_name, latest_start, late_deadline, deadline)
+    return Job(
+        submission,
+        arrived_at=now,
+        task_by_name=task_by_name,
+        latest_start=min(now + slack_s, deadline - critical_path_s - ANSWER_MARGIN_S),
+        late_deadline=now + min(MAX_LATE_WAIT_FRACTION * submission.wait_s, late_slack_s),
+        deadline=deadline,
+        critical_path_s=critical_path_s,
+        requested_at=now,
+    )
 
 
 def expected_critical_path_ms(steps: tuple[Step, ...], expected_ms: list[float]) -> float:
