--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -75,6 +75,8 @@
         self._requesting_again: asyncio.Task | None = None
         self._is_draining = False
         self._ticked_at = _clock.monotonic()
+        # By how much the last tick was late, as the event loop was busy.
+        self._lag_s = 0.0
         self._timing_updated_at = float("-inf")
         self._pause_detector = _pause_detector.PauseDetector(self._reset_links)
 
@@ -148,11 +150,13 @@
             self._timing_updated_at = now
             self._heartbeats.update(now)
         self._placement.advance()
-        self._jobs.limits.observe(now, now - self._ticked_at - TICK_S)
+        self._lag_s = max(now - self._ticked_at - TICK_S, 0.0)
         self._ticked_at = now
+        self._jobs.limits.observe(now, self._lag_s)
         self._jobs.expire(now)
         self.metrics.set_state(
             jobs=len(self._jobs),
+            waiting=self._jobs.limits.waiting,
             queued=self._placement.queued,
             links=len(self.peers.link_by_id),
             configuration_version=self.shared.version,
@@ -185,7 +189,7 @@
         if pause_s:
             await asyncio.sleep(AFTER_PAUSE_S)
         await self._turns.wait()
-        return pause_s
+        return max(pause_s, self._lag_s)
 
     def waiting_jobs(self, route: str) -> int:
         """Return how many jobs of a route have no started task, at all entries."""
--- a/src/daisyfall/request/_job_limits.py
+++ b/src/daisyfall/request/_job_limits.py
@@ -42,6 +42,11 @@
         self._door_refusals = 0
         self._refused_at = -math.inf
 
+    @property
+    def waiting(self) -> int:
+        """Return the number of jobs without a dispatched task."""
+        return len(self._waiting_by_id)
+
     def set_shutdown_deadline(self, deadline: float) -> None:
         """Refuse new jobs that can't end before this time (monotonic clock, in seconds)."""
         self._shutdown_deadline = deadline
--- a/src/daisyfall/request/_pool_jobs.py
+++ b/src/daisyfall/request/_pool_jobs.py
@@ -183,7 +183,7 @@
         for task in tasks:
             task.request_id = request_id
         longest_s = max(task.expected_ms for task in tasks) / 1000
-        start_deadline = self.answer_by - longest_s
+        start_deadline = self.answer_by - longest_s - START_MARGIN_S
         return _job_queue.TaskBatch(
             id=request_id,
             entry_id=entry_id,
@@ -287,11 +287,12 @@
     slack_s = objective_s - critical_path_s - START_MARGIN_S
     late_slack_s = MAX_LATE_FACTOR * objective_s - critical_path_s - START_MARGIN_S
     deadline = now + submission.wait_s
+    last_start = deadline - critical_path_s - ANSWER_MARGIN_S - START_MARGIN_S
     return Job(
         submission,
         arrived_at=now,
         task_by_name=task_by_name,
-        latest_start=min(now + slack_s, deadline - critical_path_s - ANSWER_MARGIN_S),
+        latest_start=min(now + slack_s, last_start),
         late_deadline=now + min(MAX_LATE_WAIT_FRACTION * submission.wait_s, late_slack_s),
         deadline=deadline,
         critical_path_s=critical_path_s,
