--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -8,7 +8,7 @@
 import loguru
 
 from daisyfall import _clock, _pool_wire
-from daisyfall.connection import _link
+from daisyfall.connection import _link, _loop_turns
 from daisyfall.policy import _job_queue
 from daisyfall.process import (
     _entry_heartbeats,
@@ -52,7 +52,7 @@
             (settings.data_centre, *settings.data_centres),
             self._set_evacuated,
         )
-        self._jobs = _pool_job_manager.PoolJobManager(settings.id, settings.bounds, metrics)
+        self._jobs = _pool_job_manager.PoolJobManager(settings.id, settings.bounds, metrics, rng)
         self._placement = _placement_service.PlacementService(rng, self._deliver)
         self._leadership = _leadership.Leadership(
             settings.id, settings.cores, settings.started_ms, _clock.monotonic()
@@ -78,7 +78,12 @@
             dial=self.peers.redial,
         )
         metrics.set_state_source(self._state_quantities)
+        self._turns = _loop_turns.LoopTurns()
+        self._requesting_again: asyncio.Task | None = None
         self._is_draining = False
+        self._ticked_at = _clock.monotonic()
+        # By how much the last tick was late, as the event loop was busy.
+        self._lag_s = 0.0
         self._timing_updated_at = float("-inf")
         self._pause_detector = _pause_detector.PauseDetector(self._reset_links)
 
@@ -114,7 +119,7 @@
         loguru.logger.bind(jobs=len(self._jobs)).info("entry is stopping")
         started = _clock.monotonic()
         limit = started + self.settings.max_drain_s
-        self._jobs.set_shutdown_deadline(limit)
+        self._jobs.limits.set_shutdown_deadline(limit)
         listen_until = started + self.settings.drain_delay_s
         while _clock.monotonic() < limit and (self._jobs or _clock.monotonic() < listen_until):
             await asyncio.sleep(DRAIN_POLL_S)
@@ -152,11 +157,15 @@
             self._timing_updated_at = now
             self._heartbeats.update(now)
         self._placement.advance()
+        self._lag_s = max(now - self._ticked_at - TICK_S, 0.0)
+        self._ticked_at = now
+        self._jobs.limits.observe(now, self._lag_s)
         self._jobs.expire(now)
 
     def _state_quantities(self) -> dict[str, float]:
         return {
             "jobs": len(self._jobs),
+            "waiting": self._jobs.limits.waiting,
             "queued": self._placement.queued,
             "links": len(self.peers.link_by_id),
             "configuration_version": self.shared.version,
@@ -187,16 +196,18 @@
         """Return by how many seconds a request may be older than its time of arrival shows.
 
         After a pause of the process, requests from the socket buffers are delayed until it is
-        known whether their connections were closed, as that is read after the requests.
+        known whether their connections were closed, as that is read after the requests. Many
+        requests that arrive at once are spread over several iterations of the event loop.
         """
         pause_s = self._pause_detector.recent_pause_s(AFTER_PAUSE_S)
         if pause_s:
             await asyncio.sleep(AFTER_PAUSE_S)
-        return pause_s
+        await self._turns.wait()
+        return max(pause_s, self._lag_s)
 
     def waiting_jobs(self, route: str) -> int:
         """Return how many jobs of a route have no started task, at all entries."""
-        own = self._jobs.waiting_by_route().get(route, 0)
+        own = self._jobs.limits.waiting_by_route().get(route, 0)
         return own + self._leadership.waiting_jobs_of_peers(route)
 
     def has_job(self, job_id: str) -> bool:
@@ -258,12 +269,20 @@
         if not changed:
             return
         loguru.logger.bind(leader=self._leadership.leader_id).info("scheduling entry changed")
-        for job_id in self._jobs.waiting_job_ids():
+        job_ids = self._jobs.waiting_job_ids()
+        for job_id in job_ids:
             self._withdraw(job_id, previous_id)
-        self._jobs.request_placement_again()
+        if self._requesting_again is not None:
+            self._requesting_again.cancel()
+        self._requesting_again = asyncio.create_task(self._request_again(job_ids, now))
         self._heartbeats.update(now)
         self._heartbeats.broadcast()
 
+    async def _request_again(self, job_ids: list[str], changed_at: float) -> None:
+        for job_id in job_ids:
+            await self._turns.wait()
+            self._jobs.request_placement_again(job_id, changed_at)
+
     # Links that this entry dialled.
 
     def handshake(self, node: _pool_peers.Node) -> _pool_wire.Handshake:
@@ -379,7 +398,7 @@
         return _entry_heartbeats.EntryState(
             self._is_available,
             self.shared.version,
-            self._jobs.waiting_by_route(),
+            self._jobs.limits.waiting_by_route(),
             is_starting and not self._is_draining,
         )
 
