Log an operator's row that can't be used once, until it is removed

Cause: the removal of a row with a malformed key would have been logged as another bad row, and a key that vanished in a lost history would not have been logged when it came back.

Change: removed rows are never logged, and a full read forgets the keys without a row. A test reads the data centres from the settings file.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -26,17 +26,18 @@
 
   Scenario Outline: a row that can't be used is logged once, and the others are in force
     Given an entry with agent a in z1, agent b in z2 and a peer entry p
-    When it learns "feed <row> z2@6={}; feed <row>; read@9 <row> z2@6={}"
+    When it learns "feed <name>@5=<value> z2@6={}; feed <name>@5=<value>; read@9 <name>@5=<value> z2@6={}"
+    And it learns "feed <name>@10=-"
     Then the evacuated data centres are "z2"
-    And "<key>" is logged once
+    And "evacuate/<name>" is logged once
 
     Examples:
-      | row       | key          |
-      | @5={}     | evacuate/    |
-      | z1/x@5={} | evacuate/z1/x |
-      | z1@5=[]   | evacuate/z1  |
-      | z1@5={    | evacuate/z1  |
-      | z9@5={}   | evacuate/z9  |
+      | name | value |
+      |      | {}    |
+      | z1/x | {}    |
+      | z1   | []    |
+      | z1   | {     |
+      | z9   | {}    |
 
   # Rows that change while further pages are read are in the feed after the first page only.
   Scenario: all rows are read as of the version of the first page
--- a/features/pool_adapter.feature
+++ b/features/pool_adapter.feature
@@ -27,6 +27,10 @@
     Given the settings file of a node with Surprise.New=5
     Then its settings have 1.07 cores and port 7720
 
+  Scenario: the settings name the data centres of the deployment
+    Given the settings file of a node with Zones.z7=north
+    Then the data centres of the deployment are z7
+
   Scenario Outline: an invalid heartbeat of a runner is dropped
     When a runner's heartbeat with <change> is decoded
     Then the heartbeat is <verdict>
--- a/features/steps/pool_adapter_steps.py
+++ b/features/steps/pool_adapter_steps.py
@@ -111,6 +111,12 @@
     assert (round(settings.cores, 3), settings.internal_port) == (cores, port), settings
 
 
+@then("the data centres of the deployment are {names}")
+def check_data_centres(context, names):
+    settings = _node_settings.load(str(context.file), 0)
+    assert settings.data_centres == tuple(names.split()), settings
+
+
 @when("a runner's heartbeat with {change} is decoded")
 def decode_heartbeat(context, change):
     body = dict(HEARTBEAT)
--- a/src/daisyfall/platform/_operator_rows.py
+++ b/src/daisyfall/platform/_operator_rows.py
@@ -19,7 +19,8 @@
 class OperatorRows:
     """Decodes the operator's rows and applies them to the shared state.
 
-    A row that can't be used is logged once, and the others are applied.
+    A row that can't be used is logged once, and the others are applied. An evacuation of a data
+    centre that isn't known takes effect when a process there connects.
     """
 
     def __init__(self, shared: _shared_state.SharedState):
@@ -31,29 +32,38 @@
 
         Evacuations come first: no job is accepted before the first configuration.
         """
-        evacuations = []
-        unreadable = []
-        for row in rows:
-            if row.key.startswith(EVACUATION_PREFIX):
-                name = row.key.removeprefix(EVACUATION_PREFIX)
-                problem = _find_problem(name, row.value)
-                if problem:
-                    unreadable.append(name)
-                    self._log(row, problem)
-                    continue
-                evacuations.append((name, row.version, row.value is not None))
-                if row.value is None:
-                    self._logged_keys.discard(row.key)
-                elif not self._shared.is_known_data_centre(name):
-                    self._log(row, "no such data centre is known")
+        evacuations, unreadable = self._decode_evacuations(rows)
         if read_version is None:
             self._shared.apply_evacuations(evacuations)
         else:
+            self._logged_keys.intersection_update(row.key for row in rows)
             self._shared.apply_all_evacuations(evacuations, unreadable, read_version)
         for row in rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
                 self._shared.apply_configuration(row.value)
 
+    def _decode_evacuations(
+        self, rows: list[_store.Row]
+    ) -> tuple[list[tuple[str, int, bool]], list[str]]:
+        """Return `(data centre, version, is evacuated)` of each row, and the names of bad rows."""
+        evacuations = []
+        unreadable = []
+        for row in rows:
+            if not row.key.startswith(EVACUATION_PREFIX):
+                continue
+            name = row.key.removeprefix(EVACUATION_PREFIX)
+            if row.value is None:
+                self._logged_keys.discard(row.key)
+            if problem := _find_problem(name, row.value):
+                if row.value is not None:
+                    self._log(row, problem)
+                unreadable.append(name)
+                continue
+            if row.value is not None and not self._shared.is_known_data_centre(name):
+                self._log(row, "no such data centre is known")
+            evacuations.append((name, row.version, row.value is not None))
+        return evacuations, unreadable
+
     def _log(self, row: _store.Row, problem: str) -> None:
         if row.key not in self._logged_keys:
             self._logged_keys.add(row.key)
