End a link without an error when its peer closes the websocket, and close links at the end of a process

Cause: the reason of a closed websocket was read from a property that is set only after the end of the connection; reading it earlier raised in the event loop's callback. A process that ended reset the links that others had dialled, where it closed them before, so a last message could be lost.

--- a/features/pool_links.feature
+++ b/features/pool_links.feature
@@ -80,6 +80,18 @@
       | an order whose capacity is a text    |
       | an order whose payload is a map      |
 
+  Scenario: a peer that closes its websocket ends the link without an error
+    Given a pool agent with one scheduling entry
+    When a peer opens a link and closes it
+    Then the agent has closed the connection and counts no link error
+    And entry e can connect and have a task run
+
+  Scenario: a message that is too large ends its link only
+    Given a pool agent with one scheduling entry
+    When a peer opens a link and announces a message that is too large
+    Then the agent has closed the connection and counts no link error
+    And entry e can connect and have a task run
+
   Scenario Outline: a bad handshake is refused
     Given a pool agent with one scheduling entry
     When a peer opens a link with <frame>
--- a/features/steps/pool_links_steps.py
+++ b/features/steps/pool_links_steps.py
@@ -232,6 +232,39 @@
     raise AssertionError("the link was accepted")
 
 
+# First bytes of a masked binary frame of 2**40 bytes.
+TOO_LARGE = b"\x82\xff" + (2**40).to_bytes(8, "big") + b"mask"
+
+
+@when("a peer opens a link and {action}")
+def open_and_end(context, action):
+    async def open_link():
+        async with websockets.connect(
+            f"ws://{pool_agent_world.ADDRESS}:{context.world.port}", compression=None, proxy=None
+        ) as socket:
+            await socket.send(_codec.encode(pool_stand_ins.handshake("entry", "raw")))
+            await socket.recv()
+            context.sessions = len(context.world.agent._session_by_entry)
+            if action == "closes it":
+                await socket.close()
+            else:
+                socket.transport.write(TOO_LARGE)
+            async with asyncio.timeout(2):
+                await socket.wait_closed()
+
+    event_loop.run(context, open_link())
+
+
+@then("the agent has closed the connection and counts no link error")
+def check_closed_without_error(context):
+    assert context.world.count("pool_link_errors") == 0
+    assert context.world.count("internal_errors") == 0
+    assert context.sessions == 2
+    sessions = context.world.agent._session_by_entry.values()
+    (raw,) = [each for each in sessions if each.entry.startswith("raw/")] or [None]
+    assert raw is None or raw.link.is_closed
+
+
 @then("the agent counts a link error")
 def check_counted(context):
     assert context.world.count("pool_link_errors") == 1
--- a/src/daisyfall/connection/_link.py
+++ b/src/daisyfall/connection/_link.py
@@ -235,7 +235,7 @@
 
 
 class Listener:
-    """Accepts links; leaving the context resets all that are open."""
+    """Accepts links; leaving the context closes all that are open."""
 
     def __init__(self, open_server: Callable[[Callable], Awaitable[asyncio.Server]], accept):
         self._open_server = open_server
@@ -250,7 +250,7 @@
         self._server.close()
         tasks = list(self._task_by_socket.values())
         for socket in list(self._task_by_socket):
-            socket.abort("the process stops")
+            socket.close("the process stops")
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _start_accepting(self, socket: _message_socket.MessageSocket) -> None:
--- a/src/daisyfall/connection/_message_socket.py
+++ b/src/daisyfall/connection/_message_socket.py
@@ -74,6 +74,15 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def close(self, reason: str) -> None:
+        """Close the connection when all that was sent has been written."""
+        self.close_reason = self.close_reason or reason
+        if self._websocket.state is protocol.OPEN:
+            self._websocket.send_close(frames.CloseCode.GOING_AWAY)
+            self._write()
+        if self.transport is not None:
+            self.transport.close()
+
     # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -98,10 +107,11 @@
                     self._handle_frame(event)
         self._write()
         self._changed.set()
-        if self._websocket.state not in (protocol.CONNECTING, protocol.OPEN):
-            self.abort(str(self._websocket.close_exc))
-        elif self._websocket.handshake_exc is not None:
-            self.abort(str(self._websocket.handshake_exc))
+        error = self._websocket.handshake_exc or self._websocket.parser_exc
+        if error is not None:
+            self.abort(f"not a websocket message: {error}")
+        elif self._websocket.state not in (protocol.CONNECTING, protocol.OPEN):
+            self.abort("closed by the peer")
 
     def pause_writing(self) -> None:
         """See `asyncio.Protocol`."""
