Explain placements to operators: daisyfallctl placement explain

Cause: whether and where a job would start now could be told only by sending it. Change: policy/_placement_explanation.py tries the scheduler's own submit on a copy of the pool; POST /explain beside /metrics of an entry; an entry that doesn't schedule names the one that does. The obstacles that choose() passes over are one function now, which the explanation counts.

--- a/features/entry_limits.feature
+++ b/features/entry_limits.feature
@@ -16,9 +16,15 @@
       | 20      | 0.5   | 10   | 0   | inf   |
       | 200     | 0.5   | 0    | 0   | inf   |
 
+  # The first runners that return after a loss of all start few jobs, which is not what the entry can do.
+  Scenario: the rate while runners return sets no limit
+    Given an entry at which 200 jobs wait, with 0.8 s until they are of no use
+    When the first 4 of them are started, after 0.2 s
+    Then at most inf jobs may wait
+
   Scenario: beyond the limit the least urgent job is refused at the door, and the hints are spread
-    Given an entry that may let 40 jobs wait
-    When 60 jobs of two routes arrive at the same time
+    Given an entry that may let 50 jobs wait
+    When 70 jobs of two routes arrive at the same time
     Then the 20 least urgent of the less urgent route are refused as entry_full at once
     And the hints are at least 0.5 s, differ, and are earlier for the more urgent route
     And the log says once that the entry refuses, and once that it accepts again
--- a/features/steps/entry_limits_steps.py
+++ b/features/steps/entry_limits_steps.py
@@ -62,6 +62,21 @@
     context.door = busy_door(context, context.waiting, context.slack, rate, lag)
 
 
+@when("the first {count:d} of them are started, after {seconds:g} s")
+def start_first(context, count, seconds):
+    context.door = _entry_limits.DoorLimit(context.now)
+    for _ in range(context.waiting):
+        context.door.record_arrival(context.slack)
+    for _ in range(round(seconds / TICK_S)):
+        context.now += TICK_S
+        context.door.observe(context.now, context.waiting, 0.0)
+    for _ in range(count):
+        context.door.record_start()
+    for _ in range(3):
+        context.now += TICK_S
+        context.door.observe(context.now, context.waiting, 0.0)
+
+
 @then("at most {limit} jobs may wait")
 def check_limit(context, limit):
     found = context.door.max_waiting()
@@ -73,7 +88,7 @@
 def limit_waiting(context, limit):
     set_clock(context)
     context.limits = _job_limits.JobLimits(random.Random(3), context.now)
-    context.limits._door = busy_door(context, 100, SLACK_S, round((limit + 0.5) / SLACK_S), 0.0)
+    context.limits._door = busy_door(context, 100, SLACK_S, round(limit / SLACK_S), 0.0)
     context.lines = []
     sink = loguru.logger.add(context.lines.append, format="{message}")
     context.add_cleanup(loguru.logger.remove, sink)
@@ -92,7 +107,7 @@
         ended = context.limits.add(job, context.now)
         if ended is not None:
             context.refused.append(ended)
-            context.limits.remove(*ended)
+            context.limits.remove(ended[0])
 
 
 @then("the {count:d} least urgent of the less urgent route are refused as {reason} at once")
--- a/src/daisyfall/_ctl_client.py
+++ b/src/daisyfall/_ctl_client.py
@@ -150,13 +150,17 @@
 
 
 def run_operation(
-    url: str | None, operation: Callable[[Client], Awaitable[int]], *, as_json: bool
+    url: str | None,
+    operation: Callable[[Client], Awaitable[int]],
+    *,
+    as_json: bool,
+    sends_token: bool = True,
 ) -> int:
     """Run `operation` with a client; report failures and return the exit status."""
     address = url or os.environ.get(URL_VARIABLE) or DEFAULT_URL
     if not str(address).startswith(("http://", "https://")):
         raise _command_line.UsageError(f"found URL {address!r}, expected http://host:port")
-    token = read_token()
+    token = read_token() if sends_token else ""
     try:
         return asyncio.run(_with_client(str(address).rstrip("/"), token, operation))
     except UnreachableError as error:
--- a/src/daisyfall/ctl.py
+++ b/src/daisyfall/ctl.py
@@ -7,7 +7,7 @@
 
 import sys
 
-from daisyfall import _command_line, _ctl_admin, _ctl_jobs, _ctl_lists
+from daisyfall import _command_line, _ctl_admin, _ctl_jobs, _ctl_lists, _ctl_placement
 
 PROGRAM = "daisyfallctl"
 
@@ -36,6 +36,7 @@
     "entries": {"list": _ctl_admin.list_entries},
     "owners": {"list": _ctl_admin.list_owners},
     "explain": _ctl_jobs.explain,
+    "placement": {"explain": _ctl_placement.explain},
     "token": _ctl_admin.token,
 }
 
--- a/src/daisyfall/platform/_caller_api.py
+++ b/src/daisyfall/platform/_caller_api.py
@@ -10,6 +10,7 @@
 from daisyfall.platform import _documents
 from daisyfall.process import _pool_entry
 from daisyfall.request import _pool_jobs
+from daisyfall.version import _routes
 
 DEADLINE_HEADER = "X-Deadline-Remaining-Ms"
 BODY_TIMEOUT_S = 3.0
@@ -109,6 +110,11 @@
         wait_ms = 0.0
     if 0 < wait_ms < float("inf"):
         return wait_ms / 1000
+    return default_wait_s(route)
+
+
+def default_wait_s(route: _routes.Route) -> float:
+    """Return how long the callers of a route wait if a request doesn't tell."""
     return max(DEFAULT_WAIT_S, route.timeout_ms / 1000)
 
 
--- a/src/daisyfall/platform/_entry_node.py
+++ b/src/daisyfall/platform/_entry_node.py
@@ -9,6 +9,7 @@
 from daisyfall.platform import (
     _caller_api,
     _documents,
+    _explain_api,
     _http,
     _node_process,
     _node_row,
@@ -46,7 +47,9 @@
         )
         close_callers = await _node_process.serve(stack, callers.build(), settings.caller_address)
         await _node_process.serve(stack, callers.build_readiness(), settings.readiness_address)
-        await _node_process.serve_metrics(stack, metrics, settings.host_address)
+        await _node_process.serve_metrics(
+            stack, metrics, settings.host_address, _explain_api.ExplainApi(entry).routes()
+        )
         row = _node_row.NodeRow(
             _pool_wire.ROLE_ENTRY, f"{settings.host_address}:{settings.internal_port}"
         )
--- a/src/daisyfall/platform/_node_process.py
+++ b/src/daisyfall/platform/_node_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import signal
+from collections.abc import Iterable
 
 import loguru
 from aiohttp import web
@@ -67,14 +68,20 @@
     return runner.cleanup
 
 
-async def serve_metrics(stack, metrics: _pool_metrics.PoolMetrics, host: str) -> None:
-    """Serve the metrics on the port that the deploy file names."""
+async def serve_metrics(
+    stack,
+    metrics: _pool_metrics.PoolMetrics,
+    host: str,
+    routes: Iterable[web.RouteDef] = (),
+) -> None:
+    """Serve the metrics and further routes on the port that the deploy file names."""
 
     async def answer(_request: web.Request) -> web.Response:
         return web.Response(body=metrics.render(), content_type="text/plain")
 
     application = web.Application()
     application.router.add_get("/metrics", answer)
+    application.router.add_routes(routes)
     await serve(stack, application, f"{host}:{METRICS_PORT}")
 
 
--- a/src/daisyfall/policy/_entry_limits.py
+++ b/src/daisyfall/policy/_entry_limits.py
@@ -7,12 +7,16 @@
 """
 
 import collections
+import math
 import statistics
 
 # Fewer jobs that wait for their first start are no sign of overload, whatever the rate is.
 MIN_WAITING_JOBS = 32
 # The rate is measured over intervals of this length in which jobs waited all the time.
 RATE_INTERVAL_S = 0.1
+# A rate counts once it was measured for this time: the first intervals after a loss of all
+# runners show how fast these return, not what the entry can do.
+MIN_MEASURED_INTERVALS = 5
 # Measured rates and reply times count for this time.
 RETENTION_S = 2.0
 # Weight of one job in the average of the time that jobs may wait for their first start.
@@ -37,8 +41,8 @@
 
     The rate at which jobs leave the waiting state is the capacity of the entry only while enough
     of them wait; otherwise it is the rate of arrivals. So only intervals in which at least
-    `MIN_WAITING_JOBS` waited all the time are measured, and without one there is no limit. While
-    nobody answers at all, the rate is unknown too: `reply_due_at` limits the wait then.
+    `MIN_WAITING_JOBS` waited all the time are measured, and without enough of them there is no
+    limit. While nobody schedules, the rate is unknown too: `reply_due_at` limits the wait then.
     """
 
     def __init__(self, now: float):
@@ -55,7 +59,7 @@
         self._slack_s += weight * (max(slack_s, 0.0) - self._slack_s)
 
     def record_start(self) -> None:
-        """Count a job that no longer waits: a task of it was started, or it was answered."""
+        """Count a job of which a task is started for the first time."""
         self._starts += 1
 
     def observe(self, now: float, waiting: int, lag_s: float) -> None:
@@ -72,17 +76,17 @@
         self._interval_started_at, self._starts, self._fewest_waiting = now, 0, waiting
 
     def rate(self) -> float:
-        """Return the measured jobs a second, infinite if the entry was not busy lately."""
-        if not self._rates:
-            return float("inf")
-        return statistics.fmean(rate for _, rate in self._rates)
+        """Return the most jobs a second lately, infinite if the entry was not busy for long."""
+        if len(self._rates) < MIN_MEASURED_INTERVALS:
+            return math.inf
+        return max(rate for _, rate in self._rates)
 
     def max_waiting(self) -> float:
         """Return how many jobs may wait so that the last of them starts within its slack."""
-        allowed_s = max(self._slack_s - self._lag_s, 0.0)
-        if not self._rates:
-            return float("inf")
-        return max(self.rate() * allowed_s, MIN_WAITING_JOBS)
+        rate = self.rate()
+        if math.isinf(rate):
+            return rate
+        return max(round(rate * max(self._slack_s - self._lag_s, 0.0)), MIN_WAITING_JOBS)
 
     def retry_after_s(self, waiting: int, priority: int, slack_s: float, jitter: float) -> float:
         """Return when a job that is refused at the door should be sent again.
--- a/src/daisyfall/policy/_job_queue.py
+++ b/src/daisyfall/policy/_job_queue.py
@@ -93,6 +93,11 @@
     def __len__(self) -> int:
         return len(self._batches)
 
+    @property
+    def batches(self) -> tuple[TaskBatch, ...]:
+        """Return the queued batches in queue order."""
+        return tuple(self._batches)
+
     def add(self, batch: TaskBatch) -> None:
         """Insert a batch in queue order."""
         bisect.insort(self._batches, batch, key=lambda queued: queued.sort_key)
--- a/src/daisyfall/policy/_pool_runners.py
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -8,6 +8,8 @@
 are full while load is at its worst.
 """
 
+import collections
+import copy
 import heapq
 import math
 from collections.abc import Iterable, Iterator
@@ -28,6 +30,17 @@
 IDLE_SHARE = 0.5
 # Share of a pool's CPU that late jobs leave free.
 SPARE_SHARE = 0.15
+
+# Why a runner can't get a task now.
+CLOSED = "closed"
+UNREPORTED = "not_reported"
+EJECTED = "ejected"
+SLOW = "slow"
+CONFINED = "confined_route"
+FULL = "full"
+NO_LABEL = "no_label"
+AVOIDED = "failed_there"
+STEP_LIMIT = "step_limit"
 _EXCLUSION_STEP = int((EXCLUSION_SLOWNESS - 1.0) / SLOWNESS_STEP)
 
 
@@ -137,11 +150,31 @@
 
     def accepts_tasks(self, runner: _runner_capacity.RunnerCapacity, now: float) -> bool:
         """Return whether a runner is among the preferred ones."""
-        return (
-            runner.is_available
-            and runner.health.accepts_tasks(now)
-            and _slowness_step(runner) < self._excluded_step(now)
-        )
+        return not self.exclusion(runner, now)
+
+    def exclusion(self, runner: _runner_capacity.RunnerCapacity, now: float) -> str:
+        """Return why a runner is not among the preferred ones, "" if it is."""
+        if not runner.is_open:
+            return CLOSED
+        if not runner.has_report:
+            return UNREPORTED
+        if not runner.health.accepts_tasks(now):
+            return EJECTED
+        return SLOW if _slowness_step(runner) >= self._excluded_step(now) else ""
+
+    def copy(self) -> "PoolRunners":
+        """Return a copy on which tasks can be placed without a change of this pool."""
+        other = copy.copy(self)
+        other.confinement = copy.deepcopy(self.confinement)
+        other.runner_by_id = {
+            runner_id: runner.copy() for runner_id, runner in self.runner_by_id.items()
+        }
+        other._by_preference = self._by_preference.copy()
+        other._by_free_cpu = self._by_free_cpu.copy()
+        other._keys_by_id = dict(self._keys_by_id)
+        other._unhealthy_by_id = {each: other.runner_by_id[each] for each in self._unhealthy_by_id}
+        other._ejected_ids = set(self._ejected_ids)
+        return other
 
     def _excluded_step(self, now: float) -> float:
         """Return the slowness step from which runners are left out, as others are faster."""
@@ -199,13 +232,7 @@
         avoids = bool(demand.avoid) and self._has_alternative(demand, bulkhead)
         far = reserved = None
         for runner in self._runners():
-            if (
-                (bulkhead is not None and runner.id not in bulkhead)
-                or not runner.fits(demand)
-                or not runner.has_label(demand)
-                or (avoids and runner.id in demand.avoid)
-                or _is_at_step_limit(runner, demand)
-            ):
+            if _obstacle(runner, demand, bulkhead, avoids=avoids):
                 continue
             if bulkhead is None and runner.id in confinement.reserved:
                 reserved = reserved or runner
@@ -215,6 +242,18 @@
                 far = far or runner
         return far or reserved
 
+    def count_obstacles(self, demand: _runner_capacity.Demand, route: str) -> dict[str, int]:
+        """Return, by the reason, how many runners can't get a task; `""` counts those that can."""
+        bulkhead = self._pool.confinement.bulkhead(route)
+        avoids = bool(demand.avoid) and self._has_alternative(demand, bulkhead)
+        return dict(
+            collections.Counter(
+                self._pool.exclusion(runner, self._now)
+                or _obstacle(runner, demand, bulkhead, avoids=avoids)
+                for runner in self._pool.runner_by_id.values()
+            )
+        )
+
     def allocate(
         self, runner: _runner_capacity.RunnerCapacity, demand: _runner_capacity.Demand
     ) -> None:
@@ -248,6 +287,25 @@
         )
 
 
+def _obstacle(
+    runner: _runner_capacity.RunnerCapacity,
+    demand: _runner_capacity.Demand,
+    bulkhead: frozenset[str] | None,
+    *,
+    avoids: bool,
+) -> str:
+    """Return why a runner that accepts tasks can't get this one, "" if it can."""
+    if bulkhead is not None and runner.id not in bulkhead:
+        return CONFINED
+    if not runner.fits(demand):
+        return FULL
+    if not runner.has_label(demand):
+        return NO_LABEL
+    if avoids and runner.id in demand.avoid:
+        return AVOIDED
+    return STEP_LIMIT if _is_at_step_limit(runner, demand) else ""
+
+
 def _is_at_step_limit(
     runner: _runner_capacity.RunnerCapacity, demand: _runner_capacity.Demand
 ) -> bool:
--- a/src/daisyfall/policy/_runner_capacity.py
+++ b/src/daisyfall/policy/_runner_capacity.py
@@ -1,5 +1,7 @@
 """Capacity of one runner, as the scheduling entry knows it."""
 
+import copy
+
 import attrs
 
 from daisyfall.policy import _runner_health
@@ -87,6 +89,13 @@
             allocation.accelerators for allocation in allocations
         )
 
+    def copy(self) -> "RunnerCapacity":
+        """Return a copy whose allocations and health can be changed."""
+        other = copy.copy(self)
+        other.allocation_by_task = dict(self.allocation_by_task)
+        other.health = copy.copy(self.health)
+        return other
+
     def allocate(self, demand: Demand, now: float) -> None:
         """Allocate the resources of a task."""
         self.allocation_by_task[demand.task] = Allocation(
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -1,5 +1,6 @@
 """Scheduler of the pools: places queued tasks on runners; no I/O, the caller passes events."""
 
+import copy
 import random
 
 import attrs
@@ -159,6 +160,30 @@
                 decisions += self._refuse_expired(pool, now)
         return decisions
 
+    def copy_of_pool(self, pool: str) -> "Scheduler":
+        """Return a scheduler with a copy of one pool, on which a decision can be tried."""
+        other = Scheduler(copy.copy(self._rng))
+        other._runners_by_pool[pool] = self._runners(pool).copy()
+        other.runner_by_id = other._runners_by_pool[pool].runner_by_id
+        other._batch_by_id = dict(self._batch_by_id)
+        for queued in self._queue(pool).batches:
+            batch = copy.copy(queued)
+            other._batch_by_id[batch.id] = batch
+            other._queue(pool).add(batch)
+        return other
+
+    def candidates(self, pool: str, now: float) -> _pool_runners.Candidates:
+        """Return the runners of a pool that may get a task now."""
+        return self._candidates(pool, now)
+
+    def work_ahead(self, batch: _job_queue.TaskBatch) -> float:
+        """Return the core seconds that are queued before a batch on the runners of its route."""
+        bulkhead_of = self._runners(batch.pool).confinement.bulkhead
+        bulkhead = bulkhead_of(batch.route)
+        return self._queue(batch.pool).work_ahead(
+            batch, lambda queued: bulkhead_of(queued.route) == bulkhead
+        )
+
     def cores(self, pool: str, route: str = "") -> float:
         """Return the cores of the healthy runners that accept tasks, or tasks of a route."""
         return self._runners(pool).cpu_for(route) / 1000
@@ -198,11 +223,13 @@
             candidates.choose(demand, batch.route) for demand in batch.demands[:1]
         ):
             return None
-        bulkhead_of = pool.confinement.bulkhead
-        bulkhead = bulkhead_of(batch.route)
         cores = self.cores(batch.pool, batch.route)
-        work_ahead = queue.work_ahead(batch, lambda queued: bulkhead_of(queued.route) == bulkhead)
-        if bulkhead is not None and not cores and not batch.has_started:
+        work_ahead = self.work_ahead(batch)
+        if (
+            pool.confinement.bulkhead(batch.route) is not None
+            and not cores
+            and not batch.has_started
+        ):
             # Runners that crashed are down for longer than the job may wait.
             return self._refusal(batch, WOULD_START_LATE)
         if _job_queue.would_start_late(batch, work_ahead, cores, now) and not (
--- a/src/daisyfall/process/_placement_service.py
+++ b/src/daisyfall/process/_placement_service.py
@@ -7,7 +7,7 @@
 import loguru
 
 from daisyfall import _clock, _pool_wire
-from daisyfall.policy import _job_queue, _runner_capacity, _scheduler
+from daisyfall.policy import _job_queue, _placement_explanation, _runner_capacity, _scheduler
 
 Decision = _pool_wire.TasksPlaced | _pool_wire.PlacementRefused
 
@@ -35,6 +35,10 @@
         """Place tasks or queue them for placement."""
         self._deliver_decisions(self._scheduler.submit(batch, _clock.monotonic()))
 
+    def explain(self, batch: _job_queue.TaskBatch) -> _placement_explanation.Explanation:
+        """Return what would be decided about tasks now, without any effect."""
+        return _placement_explanation.explain(self._scheduler, batch, _clock.monotonic())
+
     def submit_request(self, entry_id: str, message: _pool_wire.PlaceTasks) -> None:
         """Handle a placement request of another entry."""
         now = _clock.monotonic()
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -14,6 +14,7 @@
     _entry_heartbeats,
     _leadership,
     _pause_detector,
+    _placement_preview,
     _placement_service,
     _pool_metrics,
     _pool_peers,
@@ -51,6 +52,9 @@
         self._leadership = _leadership.Leadership(
             settings.id, settings.cores, settings.started_ms, _clock.monotonic()
         )
+        self.preview = _placement_preview.PlacementPreview(
+            settings.id, self._jobs, self._placement, self._leadership, self.peers
+        )
         self._incoming_by_id: dict[str, _link.Link] = {}
         self._heartbeats = _entry_heartbeats.EntryHeartbeats(
             own_id=settings.id,
--- a/src/daisyfall/request/_estimates.py
+++ b/src/daisyfall/request/_estimates.py
@@ -102,6 +102,11 @@
         """Return the statistics of a kind, None if there are none."""
         return self._stats_by_kind.get((buyer, kind))
 
+    def expected_ms(self, buyer: str, kind: str, declared_ms: float) -> float:
+        """Return the expected run time of a task, the declared one if its kind has not run yet."""
+        stats = self.find(buyer, kind)
+        return stats.predict(declared_ms) if stats and stats.samples else declared_ms
+
     def kind_stats(self, buyer: str, kind: str) -> KindStats:
         """Return the statistics of a kind, which are created if there are none."""
         key = (buyer, kind)
--- a/src/daisyfall/request/_job_limits.py
+++ b/src/daisyfall/request/_job_limits.py
@@ -19,9 +19,6 @@
 DEADLINE = "deadline"
 # The entry has stopped refusing at the door once it has accepted all jobs for this time.
 DOOR_QUIET_S = 1.0
-_OWN_REASONS = frozenset(
-    {_entry_limits.ENTRY_FULL, _entry_limits.NO_REPLY, _entry_limits.OUT_OF_TIME, STOPPING}
-)
 
 Ended = tuple[_pool_jobs.Job, _pool_jobs.Answer]
 
@@ -61,16 +58,24 @@
 
     def add(self, job: _pool_jobs.Job, now: float) -> Ended | None:
         """Add a new job; return the job that is refused for it, which may be the new one."""
-        refusal = self._refuse_on_arrival(job, now)
-        if refusal is not None:
-            return job, refusal
-        self._door.record_arrival(job.late_deadline - now)
-        self._waiting_by_id[job.id] = job
-        waiting = len(self._waiting_by_id)
+        ended = self.refusal_for(job, now)
+        if ended is not None and ended[1].reason == _entry_limits.ENTRY_FULL:
+            self._note_door_refusal(now)
+        if ended is None or ended[0] is not job:
+            self._door.record_arrival(job.late_deadline - now)
+            self._waiting_by_id[job.id] = job
+        return ended
+
+    def refusal_for(self, job: _pool_jobs.Job, now: float) -> Ended | None:
+        """Return the job that is to be refused if this one arrives; without any effect."""
+        if now + SHUTDOWN_TIME_FACTOR * job.critical_path_s > self._shutdown_deadline:
+            return job, _refused(STOPPING, SHUTDOWN_RETRY_AFTER_S)
+        if now + job.critical_path_s > job.answer_by:
+            return job, _refused(_entry_limits.OUT_OF_TIME, 0.0)
+        waiting = len(self._waiting_by_id) + 1
         if waiting <= self._door.max_waiting():
             return None
-        least_urgent = max(self._waiting_by_id.values(), key=urgency)
-        self._note_door_refusal(waiting, now)
+        least_urgent = max([*self._waiting_by_id.values(), job], key=urgency)
         after_s = self._door.retry_after_s(
             waiting,
             least_urgent.submission.route.priority,
@@ -93,14 +98,9 @@
         if self._waiting_by_id.pop(job.id, None) is not None:
             self._door.record_start()
 
-    def remove(self, job: _pool_jobs.Job, answer: _pool_jobs.Answer) -> None:
+    def remove(self, job: _pool_jobs.Job) -> None:
         """Remove a job that has ended."""
-        if self._waiting_by_id.pop(job.id, None) is None:
-            return
-        # What the entry itself refuses shows nothing of the rate at which jobs get their answers.
-        is_own = answer.reason in _OWN_REASONS or answer.outcome is _pool_jobs.Outcome.CANCELLED
-        if not is_own:
-            self._door.record_start()
+        self._waiting_by_id.pop(job.id, None)
 
     def due(self, jobs: Iterable[_pool_jobs.Job], now: float) -> Iterator[Ended]:
         """Yield the jobs for which waiting on can't help, with their answers."""
@@ -121,16 +121,10 @@
         names = (job.submission.route.name for job in self._waiting_by_id.values())
         return dict(collections.Counter(names))
 
-    def _refuse_on_arrival(self, job: _pool_jobs.Job, now: float) -> _pool_jobs.Answer | None:
-        if now + SHUTDOWN_TIME_FACTOR * job.critical_path_s > self._shutdown_deadline:
-            return _refused(STOPPING, SHUTDOWN_RETRY_AFTER_S)
-        if now + job.critical_path_s > job.answer_by:
-            return _refused(_entry_limits.OUT_OF_TIME, 0.0)
-        return None
-
-    def _note_door_refusal(self, waiting: int, now: float) -> None:
+    def _note_door_refusal(self, now: float) -> None:
         if not self._door_refusals:
-            log = loguru.logger.bind(waiting=waiting, limit=round(self._door.max_waiting()))
+            limit = round(self._door.max_waiting())
+            log = loguru.logger.bind(waiting=self.waiting, limit=limit)
             log.warning("entry refuses jobs at the door")
         self._door_refusals += 1
         self._refused_at = now
--- a/src/daisyfall/request/_pool_job_manager.py
+++ b/src/daisyfall/request/_pool_job_manager.py
@@ -246,20 +246,15 @@
     def start_job(self, submission: _pool_jobs.Submission) -> asyncio.Future:
         """Accept a job and request its first placements; return the future of its answer."""
         now = _clock.monotonic()
-        route = submission.route.name
-        stats = self._estimates.kind_stats("", route)
-        expected_ms = [
-            stats.predict(step.estimated_ms) if stats.samples else step.estimated_ms
-            for step in submission.steps
-        ]
-        job = _pool_jobs.new_job(submission, expected_ms, now)
+        job = self._new_job(submission, now)
         future = self._answers.open(job.id)
         self._job_by_id[job.id] = job
+        expected_ms_by_step = {task.step: task.expected_ms for task in job.task_by_name.values()}
         loguru.logger.bind(
             job=job.id,
-            route=route,
+            route=submission.route.name,
             tasks=len(job.task_by_name),
-            expected_ms=[round(step_ms) for step_ms in expected_ms],
+            expected_ms=[round(step_ms) for step_ms in expected_ms_by_step.values()],
             start_within_ms=round((job.latest_start - now) * 1000),
             wait_ms=round(submission.wait_s * 1000),
             **self._describe(),
@@ -271,6 +266,23 @@
             self._request_placement(job, job.unblock())
         return future
 
+    def preview(
+        self, submission: _pool_jobs.Submission
+    ) -> tuple[_pool_jobs.Answer | None, _job_queue.TaskBatch]:
+        """Return how a job would be refused on arrival, and its first request for placement."""
+        now = _clock.monotonic()
+        job = self._new_job(submission, now)
+        batch = job.request_placement(job.unblock(), self._entry_id)
+        refused = self.limits.refusal_for(job, now)
+        return (refused[1] if refused and refused[0] is job else None), batch
+
+    def _new_job(self, submission: _pool_jobs.Submission, now: float) -> _pool_jobs.Job:
+        route = submission.route.name
+        expected_ms = [
+            self._estimates.expected_ms("", route, step.estimated_ms) for step in submission.steps
+        ]
+        return _pool_jobs.new_job(submission, expected_ms, now)
+
     def _request_placement(self, job: _pool_jobs.Job, tasks: list[_pool_jobs.Task]) -> None:
         """Ask the scheduling entry to place tasks, or end a job of which one is given up."""
         if any(self._crashes.is_given_up(task.name) for task in tasks):
@@ -362,7 +374,7 @@
     def _finish(self, job: _pool_jobs.Job, answer: _pool_jobs.Answer) -> None:
         if self._job_by_id.pop(job.id, None) is None:
             return
-        self.limits.remove(job, answer)
+        self.limits.remove(job)
         for task in job.dispatched():
             self._dispatched.remove(task)
             link = self._link_to(task.agent_id)
