Adapt the tests of evacuation and entry limits to each other's parts

Cause: tests that were written beside each other: placements are requested again in a task, an entry first chooses its leader from heartbeats, and a runner's data centre is passed with its state. Change: the peer becomes the leader by its heartbeat instead of by assignment; the same checks hold.

--- a/features/steps/entry_limits_steps.py
+++ b/features/steps/entry_limits_steps.py
@@ -252,6 +252,7 @@
             link_to=lambda agent: AgentLink(self, agent),
             describe=dict,
             on_dispatch=lambda _agent: None,
+            dial=lambda _agent: None,
         )
 
     def deliver(self, _entry, decision):
@@ -282,7 +283,7 @@
         for number in range(cores // CORES_PER_RUNNER):
             agent = f"a{number}"
             state = _pool_wire.RunnerState(agent, "p", CORES_PER_RUNNER * 1000, 64_000, 0, [], True)
-            self.scheduler.update_runner(agent, state)
+            self.scheduler.update_runner(agent, state, "dc")
             self.scheduler.sync_allocations(agent, _pool_wire.AllocationReport([], 0.0))
         for job in self.manager.waiting_job_ids():
             self.manager.request_placement_again(job, self.context.now)
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -11,7 +11,7 @@
 import pool_stand_ins
 from behave import given, step, then, when
 
-from daisyfall import _pool_wire
+from daisyfall import _clock, _pool_wire
 from daisyfall.platform import _operator_rows, _store
 from daisyfall.policy import _runner_capacity, _scheduler
 from daisyfall.process import _pool_entry, _pool_metrics, _pool_peers, _pool_settings
@@ -152,15 +152,28 @@
     return kinds(context.link_by_name[name]).count(_pool_wire.RunTask)
 
 
+async def follow_peer(context):
+    # The peer has scheduled for longer than this entry runs.
+    receive(context, "p", _pool_wire.PeerHeartbeat(True, 1, {}, is_scheduling=True))
+    context.entry._update_leader(_clock.monotonic())
+    assert context.entry._leadership.leader_id == "p"
+
+
+async def lose_peer(context):
+    context.entry.peers.link_by_id.pop("p")
+    context.entry.on_closed(context.entry.peers.node_by_id["p"], context.link_by_name["p"])
+    # Placements are requested again in a task.
+    await asyncio.sleep(0.01)
+
+
 @when('it learns "{events}" and then {event}')
 def learn_and_submit(context, events, event):
     learn(context, events)
     if event != "a job arrives":
-        context.entry._leadership.leader_id = "p"
+        event_loop.run(context, follow_peer(context))
     submit(context, 1000)
     if "is lost" in event:
-        context.entry.peers.link_by_id.pop("p")
-        context.entry.on_closed(context.entry.peers.node_by_id["p"], context.link_by_name["p"])
+        event_loop.run(context, lose_peer(context))
     elif "places on a" in event:
         for agent in "ab":
             request = context.link_by_name["p"].sent[-1]
