--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -26,6 +26,11 @@
     When the node starts and is announced
     Then its link is open within 0.1 s
 
+  # The task that dials a node must not end with an error of its row in the store.
+  Scenario: a node whose registered address is not valid is dialled again
+    Given an entry that has tried to reach a node at "nowhere" for 0.5 s
+    Then it has tried more than once
+
   Scenario: a link speaks the websocket protocol of other implementations
     Given a server of the websockets library that answers the handshake and echoes messages
     When an entry dials it and sends a message that comes back in parts
--- a/features/steps/recovery_steps.py
+++ b/features/steps/recovery_steps.py
@@ -151,6 +151,22 @@
     assert not context.handler.opened_at
 
 
+@given('an entry that has tried to reach a node at "{address}" for {seconds:g} s')
+def dial_invalid(context, address, seconds):
+    make_peers(context)
+
+    async def dial():
+        context.peers.add_nodes([_pool_peers.Node("a", "agent", address)])
+        await asyncio.sleep(seconds)
+
+    event_loop.run(context, dial())
+
+
+@then("it has tried more than once")
+def check_tried_again(context):
+    assert len(context.handler.dialled) > 1, context.handler.dialled
+
+
 @when("the node starts and is announced")
 def start_node(context):
     async def serve(link):
--- a/src/daisyfall/connection/_link.py
+++ b/src/daisyfall/connection/_link.py
@@ -48,7 +48,10 @@
 
 
 class Link:
-    """Established connection; `peer` is the `Handshake` of the other side."""
+    """Established connection; `peer` is the `Handshake` of the other side.
+
+    `timers_fired` counts the wake-ups for heartbeats of this side.
+    """
 
     def __init__(
         self,
--- a/src/daisyfall/connection/_message_socket.py
+++ b/src/daisyfall/connection/_message_socket.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import ipaddress
 from collections.abc import Callable
 
 from websockets import client, exceptions, frames, http11, protocol, server, uri
@@ -17,13 +16,14 @@
 KEEP_ALIVE = _keep_alive.KeepAlive(idle_s=1, interval_s=1, count=2)
 # No more messages are written while this many bytes wait for the peer to read.
 MAX_UNWRITTEN_BYTES = 32 * 1024
-CONNECTION_ERRORS = (OSError, TimeoutError, exceptions.WebSocketException)
+# An address that is not valid is a `ValueError`.
+CONNECTION_ERRORS = (OSError, TimeoutError, ValueError, exceptions.WebSocketException)
 
 
 class MessageSocket(asyncio.Protocol):
     """One websocket connection; `transport` is None until it is connected.
 
-    `on_message` gets each message, a text or bytes; before it is set, messages are kept.
+    Messages, a text or bytes each, are kept until `receive` or `deliver_to` is called.
     `on_writable` is called when the peer reads again after `is_writable` was false.
     """
 
@@ -161,7 +161,7 @@
         uri.WebSocketURI(False, host, int(port), "/", ""), max_size=max_message_bytes
     )
     _, socket = await asyncio.get_running_loop().create_connection(
-        lambda: MessageSocket(websocket), str(ipaddress.ip_address(host)), int(port)
+        lambda: MessageSocket(websocket), host, int(port)
     )
     try:
         await socket.wait_open()
--- a/src/daisyfall/process/_ticker.py
+++ b/src/daisyfall/process/_ticker.py
@@ -32,8 +32,8 @@
     """Calls `action` by a timer, unless the process was woken up for another reason in time.
 
     `run_if_due` is called when a message that comes regularly has arrived. The timer, which then
-    starts anew, fires only if none has come for the seconds that `interval_s` returns. An error of
-    the action is logged, counted and passed over.
+    starts anew, fires only if none has come for the seconds that `interval_s` returns; `fired`
+    counts that. An error of the action is logged, counted and passed over.
     """
 
     def __init__(
