Answer jobs without a reply before half of their callers' time has passed

A given-up out_of_time was answered with 502, not 504. Change: the due time leaves 70 ms for the next look and the answer, unless the late deadline is later; out_of_time counts among the reasons of a passed deadline.

--- a/features/entry_limits.feature
+++ b/features/entry_limits.feature
@@ -32,12 +32,12 @@
   # Load: the way to the scheduling entry is dead or choked, so that no reply comes.
   Scenario: a job without a reply is withdrawn and refused before half of its caller's time is over
     Given an entry whose job with 2.0 s of its caller's time left waits for a placement
-    Then the job is still waiting after 0.9 s
-    And the job is refused as no_reply after 1.01 s, and its request withdrawn
+    Then the job is still waiting after 0.92 s
+    And the job is refused as no_reply after 0.94 s, and its request withdrawn
 
   Scenario: a placement that arrives after the refusal starts nothing
     Given an entry whose job with 2.0 s of its caller's time left waits for a placement
-    Then the job is refused as no_reply after 1.01 s, and its request withdrawn
+    Then the job is refused as no_reply after 0.94 s, and its request withdrawn
     When the placement arrives
     Then no task is ordered
 
--- a/src/daisyfall/platform/_caller_api.py
+++ b/src/daisyfall/platform/_caller_api.py
@@ -24,7 +24,7 @@
     _pool_jobs.Outcome.FAILED: "failed",
 }
 IMPOSSIBLE = "impossible"
-DEADLINE_REASONS = frozenset({"deadline", "overdue"})
+DEADLINE_REASONS = frozenset({"deadline", "out_of_time", "overdue"})
 
 
 class CallerApi:
--- a/src/daisyfall/policy/_entry_limits.py
+++ b/src/daisyfall/policy/_entry_limits.py
@@ -123,11 +123,11 @@
 
     The scheduling entry refuses a job that hasn't started by its latest start. While a pool
     recovers from a loss of its runners it does so by the late deadline, and a later request is
-    answered at once. `reply_s` is allowed for the reply itself, but beyond its latest start no
-    job waits longer than until `half_time`, when half of its caller's time has passed.
+    answered at once. `reply_s` is allowed for the reply itself, but no longer than until
+    `half_time`, by which an answer reaches the caller before half of its time has passed.
     """
     late_due_at = max(late_deadline, requested_at) + reply_s
-    return max(latest_start + reply_s, min(late_due_at, half_time))
+    return max(latest_start + reply_s, late_deadline, min(late_due_at, half_time))
 
 
 def remaining_run_ms(expected_ms: float, running_for_ms: float) -> float:
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -22,10 +22,10 @@
     _shared_state,
     _ticker,
 )
-from daisyfall.request import _pool_job_manager, _pool_jobs
+from daisyfall.request import _job_limits, _pool_job_manager, _pool_jobs
 from daisyfall.version import _routes
 
-TICK_S = 0.04
+TICK_S = _job_limits.CHECK_INTERVAL_S
 # How often the heartbeat timing of all links is brought up to date.
 TIMING_INTERVAL_S = 0.2
 # Requests read this soon after a pause are delayed by this time: callers may have disconnected.
--- a/src/daisyfall/request/_job_limits.py
+++ b/src/daisyfall/request/_job_limits.py
@@ -17,6 +17,8 @@
 SHUTDOWN_RETRY_AFTER_S = 1.0
 STOPPING = "stopping"
 DEADLINE = "deadline"
+# Time between two looks of an entry at its jobs.
+CHECK_INTERVAL_S = 0.04
 # The entry has stopped refusing at the door once it has accepted all jobs for this time.
 DOOR_QUIET_S = 1.0
 
@@ -146,7 +148,7 @@
 
 
 def _reply_due_at(job: _pool_jobs.Job, reply_s: float) -> float:
-    half_time = job.deadline - job.submission.wait_s / 2
+    half_time = job.answer_by - CHECK_INTERVAL_S - job.submission.wait_s / 2
     return _entry_limits.reply_due_at(
         job.requested_at, job.latest_start, job.late_deadline, half_time, reply_s
     )
