--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -1,6 +1,7 @@
 """Pool entry: accepts jobs, has their tasks placed and run, and answers the callers."""
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -22,10 +23,10 @@
     _shared_state,
     _ticker,
 )
-from daisyfall.request import _pool_job_manager, _pool_jobs
+from daisyfall.request import _job_limits, _pool_job_manager, _pool_jobs
 from daisyfall.version import _routes
 
-TICK_S = 0.04
+TICK_S = _job_limits.CHECK_INTERVAL_S
 # While this entry has no jobs, queues none for others and has chosen the scheduling entry.
 IDLE_TICK_S = 0.1
 # How often the heartbeat timing of all links is brought up to date.
@@ -87,7 +88,7 @@
         self._turns = _loop_turns.LoopTurns()
         self._requesting_again: asyncio.Task | None = None
         self._is_draining = False
-        self._ticked_at = _clock.monotonic()
+        self._tick_due_at = math.inf
         # By how much the last tick was late, as the event loop was busy.
         self._lag_s = 0.0
         self._timing_updated_at = float("-inf")
@@ -152,9 +153,11 @@
         return not self._is_draining and self._placement.has_available_runner()
 
     def _tick_delay_s(self) -> float:
+        now = _clock.monotonic()
         is_idle = not self._jobs and not self._placement.queued
-        is_starting = self._leadership.is_starting(_clock.monotonic())
-        return IDLE_TICK_S if is_idle and not is_starting else TICK_S
+        delay_s = IDLE_TICK_S if is_idle and not self._leadership.is_starting(now) else TICK_S
+        self._tick_due_at = now + delay_s
+        return delay_s
 
     def _tick(self) -> None:
         self._pause_detector.check()
@@ -168,8 +171,7 @@
             self._timing_updated_at = now
             self._heartbeats.update(now)
         self._placement.advance()
-        self._lag_s = max(now - self._ticked_at - TICK_S, 0.0)
-        self._ticked_at = now
+        self._lag_s = max(now - self._tick_due_at, 0.0)
         self._jobs.limits.observe(now, self._lag_s)
         self._jobs.expire(now)
 
