Estimate expected starts from the ends of running tasks; shares and retry slots

Change: policy/_shortage.py, _expected_ends.py, _fair_shares.py and _retry_slots.py; the queue has a lane for each priority; PlaceTasks.served and AllocationReport.ends are trailing fields.

--- a/features/pool_policy.feature
+++ b/features/pool_policy.feature
@@ -180,19 +180,36 @@
     And job d is not refused
 
   # If the job missed its deadline, the work of its completed tasks would be wasted.
-  Scenario: the remaining tasks of a started job go before jobs of higher priority
+  Scenario: the remaining tasks of a started job go before other jobs of its priority
     Given a scheduler with runners r1:1000
     When job a of 2 tasks of 1000 arrives
-    And job b of priority 0 arrives with its latest start in 0.9 s
+    And job b of priority 1 arrives with its latest start in 0.9 s
     And the task of job a ends
     Then job b is not placed
 
+  # The most urgent jobs have the least time, and would wait behind all jobs that started in part.
+  Scenario: the remaining tasks of a started job go behind jobs of higher priority
+    Given a scheduler with runners r1:1000
+    When job a of 2 tasks of 1000 arrives
+    And job b of priority 0 arrives with its latest start in 0.9 s
+    And the task of job a ends
+    Then job b is placed
+    And job a is not refused
+
   Scenario: a job that would start too late behind the queued work is refused on arrival
     Given a scheduler with runners r1:1000
     And job a of 1 tasks of 1000 arrives
-    When job b of 4 tasks of 1000 arrives with its latest start in 0.3 s
-    And job c of 1 tasks of 1000 arrives with its latest start in 0.35 s
-    Then job c is refused as in_vain
+    When job b of 2 tasks of 1000 arrives with its latest start in 0.25 s
+    And job c of 1 tasks of 1000 arrives with its latest start in 0.29 s
+    Then job b is not refused
+    And job c is refused as in_vain
+
+  # Its first tasks would take the place of others, and it would be late nevertheless.
+  Scenario: a job of which only the last task would start too late is refused on arrival
+    Given a scheduler with runners r1:1000
+    And job a of 1 tasks of 1000 arrives
+    When job b of 4 tasks of 1000 arrives with its latest start in 0.35 s
+    Then job b is refused as in_vain
 
   Scenario: a job is refused when its latest start passes while it is queued
     Given a scheduler with runners r1:1000
--- a/src/daisyfall/_pool_wire.py
+++ b/src/daisyfall/_pool_wire.py
@@ -126,11 +126,13 @@
     """Agent to the scheduling entry: all allocations of capacity at its runner.
 
     `allocations` holds `[task, job, cpu, memory_mb, accelerators]` for each task. `slowness` is
-    the median ratio of measured to expected run times, 0 if unknown.
+    the median ratio of measured to expected run times, 0 if unknown. `ends` holds, for each
+    allocation, `[ms until its expected end, expected run ms]`; older builds don't send it.
     """
 
     allocations: list
     slowness: float
+    ends: list = attrs.Factory(list)
 
 
 @_codec.message(58)
@@ -162,7 +164,9 @@
     `tasks` holds, for each task, the fields of `policy._runner_capacity.Demand`. By
     `latest_start_ms` the first task has to start, by `start_deadline_ms` the remaining ones; both
     count from the time at which the message is sent. By `late_deadline_ms` the first task has to
-    start if the pool recovers from a loss.
+    start if the pool recovers from a loss. `served` is the expected work, in core seconds, that
+    jobs of the route were given lately through this entry; it halves in
+    `policy._fair_shares.HALF_LIFE_S`.
     """
 
     request_id: str
@@ -175,6 +179,7 @@
     tasks: list
     late_deadline_ms: int = 0
     route: str = ""
+    served: float = 0.0
 
 
 @_codec.message(61)
--- a/src/daisyfall/policy/_pool_runners.py
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -14,7 +14,7 @@
 
 import sortedcontainers
 
-from daisyfall.policy import _confinement, _runner_capacity, _runner_health
+from daisyfall.policy import _confinement, _expected_ends, _runner_capacity, _runner_health
 
 # A runner this slow gets no task while others of the pool are faster, even if those are full.
 EXCLUSION_SLOWNESS = 3.0
@@ -39,6 +39,7 @@
 
     def __init__(self) -> None:
         self.confinement = _confinement.Confinement()
+        self.expected_ends = _expected_ends.ExpectedEnds()
         self.runner_by_id: dict[str, _runner_capacity.RunnerCapacity] = {}
         self.healthy_cpu = 0
         self.free_cpu = 0
@@ -64,6 +65,7 @@
     def remove(self, runner: _runner_capacity.RunnerCapacity) -> None:
         """Remove a runner."""
         del self.runner_by_id[runner.id]
+        self.expected_ends.remove(runner.id)
         self._forget(runner.id)
 
     def update(self, runner: _runner_capacity.RunnerCapacity) -> None:
@@ -73,10 +75,13 @@
         keys = None
         if is_healthy and runner.is_available:
             keys = (_preference(runner), (runner.free_cpu, runner.id), runner.cpu)
+            self.expected_ends.update(runner.id, runner.allocation_by_task)
             if keys == self._keys_by_id.get(runner.id):
                 return
         was_available = self._forget(runner.id)
-        if keys is not None:
+        if keys is None:
+            self.expected_ends.remove(runner.id)
+        else:
             if not was_available and runner.free_cpu >= IDLE_SHARE * runner.cpu:
                 self._returned_cpu += runner.cpu
             self._keys_by_id[runner.id] = keys
@@ -84,7 +89,7 @@
             self._by_free_cpu.add(keys[1])
             self.healthy_cpu += runner.cpu
             self.free_cpu += runner.free_cpu
-        elif not is_healthy:
+        if not is_healthy:
             self._ejected_ids.add(runner.id)
             if runner.is_available:
                 self._unhealthy_by_id[runner.id] = runner
@@ -114,6 +119,15 @@
         """Return whether so much is free that late jobs don't delay others."""
         return self.free_cpu > SPARE_SHARE * self.healthy_cpu
 
+    def room_for(self, cpu: int, needed: int) -> int:
+        """Return how much of the CPU that is needed is free for tasks of a size."""
+        room = 0
+        for free_cpu, _ in reversed(self._by_free_cpu):
+            if free_cpu < cpu or room >= needed:
+                break
+            room += free_cpu // cpu * cpu if cpu else free_cpu
+        return min(room, needed)
+
     def max_free_cpu(self, now: float) -> int:
         """Return the most CPU that a runner which accepts tasks has free, -1 without any.
 
--- a/src/daisyfall/policy/_runner_capacity.py
+++ b/src/daisyfall/policy/_runner_capacity.py
@@ -31,13 +31,18 @@
 
 @attrs.define(slots=True, eq=False)
 class Allocation:
-    """Resources of a runner that are allocated to one task."""
+    """Resources of a runner that are allocated to one task.
+
+    `expected_end` is on the monotonic clock, `run_s` the expected run time; 0 if unknown.
+    """
 
     cpu: int
     memory_mb: int
     accelerators: int
     allocated_at: float
     job_id: str
+    expected_end: float = 0.0
+    run_s: float = 0.0
 
 
 @attrs.define(slots=True, eq=False)
@@ -90,7 +95,13 @@
     def allocate(self, demand: Demand, now: float) -> None:
         """Allocate the resources of a task."""
         self.allocation_by_task[demand.task] = Allocation(
-            demand.cpu, demand.memory_mb, demand.accelerators, now, demand.job_id
+            demand.cpu,
+            demand.memory_mb,
+            demand.accelerators,
+            now,
+            demand.job_id,
+            now + demand.expected_ms / 1000,
+            demand.expected_ms / 1000,
         )
         self.free_cpu -= demand.cpu
         self.free_memory_mb -= demand.memory_mb
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -4,7 +4,14 @@
 
 import attrs
 
-from daisyfall.policy import _job_queue, _pool_runners, _runner_capacity, _runner_health
+from daisyfall.policy import (
+    _fair_shares,
+    _job_queue,
+    _pool_runners,
+    _runner_capacity,
+    _runner_health,
+    _shortage,
+)
 
 # Outcomes that agents report when a task's resources are released.
 DONE = "done"
@@ -36,6 +43,7 @@
 # Reasons of a refusal.
 WOULD_START_LATE = "in_vain"
 EXPIRED = "overdue"
+DISPLACED = "displaced"
 QUEUE_FULL = "full"
 IMPOSSIBLE = "impossible"
 NO_RUNNER = "no_runner"
@@ -49,6 +57,8 @@
         self.runner_by_id: dict[str, _runner_capacity.RunnerCapacity] = {}
         self._runners_by_pool: dict[str, _pool_runners.PoolRunners] = {}
         self._queue_by_pool: dict[str, _job_queue.JobQueue] = {}
+        self._shortage_by_pool: dict[str, _shortage.Shortage] = {}
+        self._shares_by_pool: dict[str, _fair_shares.FairShares] = {}
         self._batch_by_id: dict[str, _job_queue.TaskBatch] = {}
 
     @property
@@ -107,7 +117,7 @@
         self._runners(runner.pool).update(runner)
         if not len(self._queue(runner.pool)):
             return []
-        return self._place(runner.pool, self._candidates(runner.pool, now, runner))
+        return self._place(runner.pool, self._candidates(runner.pool, now, runner), now)
 
     def update_slowness(self, runner_id: str, slowdown: float) -> None:
         """Add a runner's median of run times over the expected ones, 0 if unknown."""
@@ -122,13 +132,27 @@
             return []
         confinement = self._runners(batch.pool).confinement
         confinement.record_work(batch.route, batch.core_seconds, now)
+        shares = self._shares(batch.pool)
+        shares.record_request(batch, now)
+        queue = self._queue(batch.pool)
+        batch.is_favoured = bool(len(queue)) and shares.is_under_share(batch, now)
         candidates = self._candidates(batch.pool, now)
         refusal = self._refuse_on_arrival(batch, candidates, now)
         if refusal is not None:
             return [refusal]
-        self._queue(batch.pool).add(batch)
-        self._batch_by_id[batch.id] = batch
-        return self._place(batch.pool, candidates)
+        if len(queue):
+            queue.add(batch)
+            self._batch_by_id[batch.id] = batch
+            decisions = self._place(batch.pool, candidates, now)
+        else:
+            decisions = self._place_batch(batch, candidates, now)
+        if batch.demands:
+            if batch.id not in self._batch_by_id:
+                queue.add(batch)
+                self._batch_by_id[batch.id] = batch
+            self._shortage(batch.pool).record_queued(batch)
+            decisions += self._refuse_displaced(batch.pool, now)
+        return decisions
 
     def confine(self, route: str, now: float) -> None:
         """Keep the tasks of a route on a share of its pool for a while."""
@@ -155,19 +179,49 @@
             runners.advance(now)
         for pool, queue in self._queue_by_pool.items():
             if len(queue):
-                decisions += self._place(pool, self._candidates(pool, now))
+                decisions += self._place(pool, self._candidates(pool, now), now)
                 decisions += self._refuse_expired(pool, now)
+                decisions += self._refuse_displaced(pool, now)
+        for shortage in self._shortage_by_pool.values():
+            shortage.advance(now)
         return decisions
 
+    def refused_by_short_pool(self) -> dict[str, int]:
+        """Return, for each pool in shortage, the jobs refused since it began."""
+        return {
+            pool: shortage.refused
+            for pool, shortage in self._shortage_by_pool.items()
+            if shortage.is_short
+        }
+
     def cores(self, pool: str, route: str = "") -> float:
         """Return the cores of the healthy runners that accept tasks, or tasks of a route."""
         return self._runners(pool).cpu_for(route) / 1000
 
     def _queue(self, pool: str) -> _job_queue.JobQueue:
-        return self._queue_by_pool.setdefault(pool, _job_queue.JobQueue())
+        queue = self._queue_by_pool.get(pool)
+        if queue is None:
+            queue = self._queue_by_pool[pool] = _job_queue.JobQueue()
+        return queue
+
+    def _shortage(self, pool: str) -> _shortage.Shortage:
+        shortage = self._shortage_by_pool.get(pool)
+        if shortage is None:
+            shortage = _shortage.Shortage(self._runners(pool), self._queue(pool))
+            self._shortage_by_pool[pool] = shortage
+        return shortage
+
+    def _shares(self, pool: str) -> _fair_shares.FairShares:
+        shares = self._shares_by_pool.get(pool)
+        if shares is None:
+            shares = self._shares_by_pool[pool] = _fair_shares.FairShares()
+        return shares
 
     def _runners(self, pool: str) -> _pool_runners.PoolRunners:
-        return self._runners_by_pool.setdefault(pool, _pool_runners.PoolRunners())
+        runners = self._runners_by_pool.get(pool)
+        if runners is None:
+            runners = self._runners_by_pool[pool] = _pool_runners.PoolRunners()
+        return runners
 
     def _may_eject(self, pool: str) -> bool:
         """Return whether one more runner may be ejected.
@@ -185,67 +239,82 @@
     def _refuse_on_arrival(
         self, batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates, now: float
     ) -> Refusal | None:
-        pool = self._runners(batch.pool)
-        runners = pool.runner_by_id.values()
+        runners = self._runners(batch.pool).runner_by_id.values()
         if runners and not all(
             any(runner.may_ever_fit(demand) for runner in runners) for demand in batch.demands
         ):
             return Refusal(batch, IMPOSSIBLE, 0.0)
         if self.queued >= _job_queue.MAX_QUEUED_BATCHES:
-            return self._refusal(batch, QUEUE_FULL)
-        queue = self._queue(batch.pool)
-        if not len(queue) and all(
-            candidates.choose(demand, batch.route) for demand in batch.demands[:1]
-        ):
-            return None
-        bulkhead_of = pool.confinement.bulkhead
-        bulkhead = bulkhead_of(batch.route)
-        cores = self.cores(batch.pool, batch.route)
-        work_ahead = queue.work_ahead(batch, lambda queued: bulkhead_of(queued.route) == bulkhead)
-        if bulkhead is not None and not cores and not batch.has_started:
-            # Runners that crashed are down for longer than the job may wait.
-            return self._refusal(batch, WOULD_START_LATE)
-        if _job_queue.would_start_late(batch, work_ahead, cores, now) and not (
-            batch.may_become_late(now) and pool.is_recovering()
-        ):
-            return self._refusal(batch, WOULD_START_LATE)
+            return self._refusal(batch, QUEUE_FULL, now)
+        if not self._shortage(batch.pool).may_wait(batch, candidates, now):
+            return self._refusal(batch, WOULD_START_LATE, now)
         return None
 
-    def _refusal(self, batch: _job_queue.TaskBatch, reason: str) -> Refusal:
-        work = self._queue(batch.pool).total_work()
-        jitter = self._rng.random()
-        after_s = _job_queue.retry_after_s(work, self.cores(batch.pool, batch.route), jitter)
-        return Refusal(batch, reason, after_s)
+    def _refusal(self, batch: _job_queue.TaskBatch, reason: str, now: float) -> Refusal:
+        shortage = self._shortage(batch.pool)
+        shortage.record_refusal(now)
+        cores = self.cores(batch.pool, batch.route)
+        return Refusal(batch, reason, shortage.book_retry(batch, cores, self._rng.random(), now))
 
-    def _place(self, pool: str, candidates: _pool_runners.Candidates) -> list[Placement]:
-        queue = self._queue(pool)
+    def _place(
+        self, pool: str, candidates: _pool_runners.Candidates, now: float
+    ) -> list[Placement]:
         decisions = []
-        runners = self._runners(pool)
-        for batch in queue.placeable(candidates):
-            if batch.is_late and not runners.has_spare():
-                continue
-            runner_by_task = _place_tasks(batch, candidates)
-            if runner_by_task:
-                decisions.append(Placement(batch, runner_by_task))
-                self._mark_started(batch, queue)
-            if not batch.demands:
-                self._remove(batch)
+        for batch in self._queue(pool).placeable(candidates):
+            decisions += self._place_batch(batch, candidates, now)
         return decisions
 
-    def _mark_started(self, batch: _job_queue.TaskBatch, queue: _job_queue.JobQueue) -> None:
-        if not batch.has_started:
+    def _place_batch(
+        self, batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates, now: float
+    ) -> list[Placement]:
+        """Place the tasks of a batch that fit; remove it from the queue if none is left."""
+        if batch.is_late and not self._runners(batch.pool).has_spare():
+            return []
+        if not self._shortage(batch.pool).may_start(batch, now):
+            return []
+        cpu, core_seconds = batch.cpu, batch.core_seconds
+        runner_by_task, remaining = _place_tasks(batch, candidates)
+        if not runner_by_task:
+            return []
+        self._record_start(batch, remaining)
+        cpu, core_seconds = cpu - batch.cpu, core_seconds - batch.core_seconds
+        self._shortage(batch.pool).record_placement(batch.priority, cpu, core_seconds, now)
+        self._shares(batch.pool).record_placement(batch, core_seconds, now)
+        return [Placement(batch, runner_by_task)]
+
+    def _record_start(
+        self, batch: _job_queue.TaskBatch, remaining: list[_runner_capacity.Demand]
+    ) -> None:
+        """Keep the tasks of a started job that wait, ahead of the jobs of its priority."""
+        queue = self._queue(batch.pool)
+        is_queued = batch.id in self._batch_by_id
+        if is_queued and batch.has_started and remaining:
+            queue.shrink(batch, remaining)
+            return
+        if is_queued:
+            del self._batch_by_id[batch.id]
             queue.remove(batch)
-            batch.has_started = True
-            # The work done would be lost if its other tasks waited for spare capacity.
-            batch.is_late = False
+        batch.set_demands(remaining)
+        batch.has_started = True
+        # The work done would be lost if its other tasks waited for spare capacity.
+        batch.is_late = False
+        if is_queued and remaining:
             queue.add(batch)
+            self._batch_by_id[batch.id] = batch
 
     def _refuse_expired(self, pool: str, now: float) -> list[Refusal]:
         is_recovering = self._runners(pool).is_recovering()
         expired = self._queue(pool).pop_expired(now, keeps_late=is_recovering)
         for batch in expired:
             del self._batch_by_id[batch.id]
-        return [self._refusal(batch, EXPIRED) for batch in expired]
+        return [self._refusal(batch, EXPIRED, now) for batch in expired]
+
+    def _refuse_displaced(self, pool: str, now: float) -> list[Refusal]:
+        """Refuse the queued jobs that can't start in time behind the jobs ahead of them."""
+        displaced = self._shortage(pool).review(now)
+        for batch in displaced:
+            self._remove(batch)
+        return [self._refusal(batch, DISPLACED, now) for batch in displaced]
 
     def _remove(self, batch: _job_queue.TaskBatch) -> None:
         self._batch_by_id.pop(batch.id, None)
@@ -254,8 +323,8 @@
 
 def _place_tasks(
     batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates
-) -> dict[str, str]:
-    """Place as many tasks of a batch as fit, the longest first; return runner ids by task."""
+) -> tuple[dict[str, str], list[_runner_capacity.Demand]]:
+    """Place as many tasks of a batch as fit; return runner ids by task, and the other tasks."""
     runner_by_task: dict[str, str] = {}
     remaining = []
     for demand in batch.demands:
@@ -265,6 +334,4 @@
             continue
         candidates.allocate(runner, demand)
         runner_by_task[demand.task] = runner.id
-    if runner_by_task:
-        batch.set_demands(remaining)
-    return runner_by_task
+    return runner_by_task, remaining
--- /dev/null
+++ b/src/daisyfall/policy/_shortage.py
@@ -0,0 +1,316 @@
+"""Choice under shortage: which jobs of a pool can still start in time.
+
+Answers bursts of wide and long jobs beside bursts of short ones, demand that swings, and the
+moments after a loss of runners: for a while the runners can't do all work in time. A job that
+can't start in time is refused before anything of it has started, as it would only delay others
+and its caller could use the time for another attempt.
+
+What a job can count on is the CPU that is free for it, and what running tasks are expected to
+free until its latest start. What it can't count on is taken by the jobs ahead of it in the queue
+and by more urgent ones, which are expected to arrive as they did lately. Tasks that end before
+the latest start give their CPU back, so they count with the share of the time that they need.
+"""
+
+import math
+
+import attrs
+
+from daisyfall.policy import _expected_ends, _job_queue, _pool_runners, _retry_slots
+
+# Share of the time until its latest start within which an arriving job must be expected to start.
+# The rest covers run times that vary, so that few jobs are refused after they have waited.
+ARRIVAL_SHARE = 1.0
+REVIEW_SHARE = 1.25
+EXPECTED_SHARE = 0.85
+# Share of that time that the work ahead of a job of a confined route may take.
+BULKHEAD_SHARE = 0.5
+# The queued jobs are examined this often, and this often if jobs arrive that may displace some.
+REVIEW_INTERVAL_S = 0.04
+MIN_REVIEW_INTERVAL_S = 0.005
+# Time over which the work of more urgent jobs is averaged.
+LATELY_S = 0.5
+# A shortage is over if nothing waited and no job was refused for this time.
+SHORTAGE_END_S = 1.0
+# How often short tasks can be expected to follow each other on the CPU that becomes free.
+MAX_ROUNDS = 20
+
+
+@attrs.define(slots=True)
+class RecentDemand:
+    """What the jobs of one priority asked for lately.
+
+    `cpu` is in thousandths of a core, `core_seconds` the work; both decay with `LATELY_S`.
+    """
+
+    cpu: float = 0.0
+    core_seconds: float = 0.0
+    updated_at: float = 0.0
+
+    def advance(self, now: float) -> None:
+        """Let the sums decay."""
+        decay = math.exp(-max(now - self.updated_at, 0.0) / LATELY_S)
+        self.cpu *= decay
+        self.core_seconds *= decay
+        self.updated_at = now
+
+
+class Shortage:
+    """Decides for one pool which jobs can start in time; keeps what was asked for lately."""
+
+    def __init__(self, runners: _pool_runners.PoolRunners, queue: _job_queue.JobQueue) -> None:
+        self._runners = runners
+        self._queue = queue
+        self._demand_by_priority: dict[int, RecentDemand] = {}
+        self._retries = _retry_slots.RetrySlots()
+        self._reviewed_at = -math.inf
+        # By lane, the CPU that jobs ahead may ask for until one of the lane can't be in time.
+        self._margin_by_lane: dict[tuple, float] = {}
+        self._needs_review = False
+        self._last_refusal_at = -math.inf
+        self.refused = 0
+        self.is_short = False
+
+    def record_placement(self, priority: int, cpu: int, core_seconds: float, now: float) -> None:
+        """Record tasks that have got their CPU."""
+        demand = self._demand_by_priority.get(priority)
+        if demand is None:
+            demand = self._demand_by_priority[priority] = RecentDemand(updated_at=now)
+        demand.advance(now)
+        demand.cpu += cpu
+        demand.core_seconds += core_seconds
+
+    def record_queued(self, batch: _job_queue.TaskBatch) -> None:
+        """Take note of a job that waits, as it may push others past their latest start."""
+        own_lane = (batch.is_late, batch.priority)
+        for lane in self._margin_by_lane:
+            if lane >= own_lane:
+                self._margin_by_lane[lane] -= batch.cpu
+                self._needs_review |= self._margin_by_lane[lane] < 0
+
+    def may_wait(
+        self, batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates, now: float
+    ) -> bool:
+        """Return whether an arriving job may start or wait; otherwise it is refused."""
+        if batch.has_started:
+            return now < batch.start_deadline
+        if self._waits_for_return(batch, now):
+            return True
+        demand = batch.demands[0]
+        if self._is_confined(batch):
+            return self._may_wait_in_bulkhead(batch, candidates, now)
+        if self._runners.room_for(demand.cpu, batch.cpu) >= batch.cpu and candidates.choose(
+            demand, batch.route
+        ):
+            return True
+        if not self.is_predictable():
+            return now < batch.latest_start
+        return self.can_start_in_time(batch, now, ARRIVAL_SHARE)
+
+    def may_start(self, batch: _job_queue.TaskBatch, now: float) -> bool:
+        """Return whether a job may start: all its tasks fit, or the others will in time."""
+        if batch.has_started or len(batch.demands) == 1:
+            return True
+        return (
+            self._runners.room_for(batch.demands[0].cpu, batch.cpu) >= batch.cpu
+            or self._is_confined(batch)
+            or not self.is_predictable()
+            or self._waits_for_return(batch, now)
+            or self.can_start_in_time(batch, now)
+        )
+
+    def _waits_for_return(self, batch: _job_queue.TaskBatch, now: float) -> bool:
+        """Return whether a job may wait for runners that are expected back after a loss."""
+        return (batch.is_late or batch.may_become_late(now)) and self._runners.is_recovering()
+
+    def _is_confined(self, batch: _job_queue.TaskBatch) -> bool:
+        return self._runners.confinement.bulkhead(batch.route) is not None
+
+    def _may_wait_in_bulkhead(
+        self, batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates, now: float
+    ) -> bool:
+        """Return whether a job of a confined route may wait for the runners that it has.
+
+        Without any it is refused, as runners that crashed are down for longer than it may wait.
+        """
+        if not len(self._queue) and candidates.choose(batch.demands[0], batch.route):
+            return True
+        cores = self._runners.cpu_for(batch.route) / 1000
+        if not cores:
+            return False
+        bulkhead_of = self._runners.confinement.bulkhead
+        bulkhead = bulkhead_of(batch.route)
+        work = self._queue.work_ahead(batch, lambda queued: bulkhead_of(queued.route) == bulkhead)
+        return work / cores <= BULKHEAD_SHARE * (batch.latest_start - now)
+
+    def is_predictable(self) -> bool:
+        """Return whether expected starts are known, which follow from the ends of tasks.
+
+        If nothing runs, a job waits for another reason, for example for a runner to grow again.
+        """
+        return self._runners.healthy_cpu > 0 and not self._runners.expected_ends.is_empty()
+
+    def can_start_in_time(
+        self, batch: _job_queue.TaskBatch, now: float, share: float = 1.0
+    ) -> bool:
+        """Return whether all tasks of a job are expected to start within a share of its time."""
+        within_s = share * (batch.expires_at - now)
+        if within_s < 0:
+            return False
+        within_s = min(within_s, _expected_ends.FORECAST_S)
+        ahead = self._cpu_ahead(batch, within_s, now)
+        return self._margin(batch, self._room_for(batch), ahead, within_s, now) >= 0
+
+    def review(self, now: float) -> list[_job_queue.TaskBatch]:
+        """Return the queued jobs that can't start in time any more.
+
+        All are examined at intervals, and sooner if jobs that arrived push others too far.
+        """
+        since_s = now - self._reviewed_at
+        reviews_all = since_s >= REVIEW_INTERVAL_S
+        if not reviews_all and not (self._needs_review and since_s >= MIN_REVIEW_INTERVAL_S):
+            return []
+        self._reviewed_at, self._needs_review = now, False
+        if not self.is_predictable():
+            self._margin_by_lane.clear()
+            return []
+        hopeless: list[_job_queue.TaskBatch] = []
+        for key, lane in self._queue.lane_by_key.items():
+            if reviews_all or self._margin_by_lane.get(key, 0.0) < 0:
+                self._margin_by_lane[key] = self._review_lane(key, lane, hopeless, now)
+        return hopeless
+
+    def _review_lane(
+        self,
+        key: tuple[bool, int],
+        lane: _job_queue.Lane,
+        hopeless: list[_job_queue.TaskBatch],
+        now: float,
+    ) -> float:
+        """Collect the hopeless jobs of a lane; return the least margin of the others."""
+        cpu, core_seconds, least = 0, 0.0, math.inf
+        if not lane.batches:
+            return least
+        urgent = self._urgent_flows(key, now)
+        most_free = self._runners.max_free_cpu(now)
+        for batch in lane.batches:
+            if not (
+                batch.has_started or self._is_confined(batch) or self._waits_for_return(batch, now)
+            ):
+                within_s = REVIEW_SHARE * (batch.expires_at - now)
+                within_s = min(max(within_s, _expected_ends.SLOT_S), _expected_ends.FORECAST_S)
+                ahead = _occupied(urgent, within_s) + _net_cpu(cpu, core_seconds, within_s)
+                free = self._room_for(batch) if batch.min_cpu <= most_free else 0
+                margin = self._margin(batch, free, ahead, within_s, now)
+                if margin < 0:
+                    hopeless.append(batch)
+                    continue
+                least = min(least, margin)
+            cpu += batch.cpu
+            core_seconds += batch.core_seconds
+        return least
+
+    def book_retry(self, batch: _job_queue.TaskBatch, cores: float, jitter: float, now: float):
+        """Return after how many seconds the caller of a refused job should retry."""
+        used = sum(
+            demand.core_seconds
+            for priority, demand in self._advanced_demands(now)
+            if priority <= batch.priority
+        )
+        spare = max(cores - used / LATELY_S, _retry_slots.MIN_SPARE_SHARE * cores)
+        work = self._queue.total_work()
+        return self._retries.book(
+            batch.priority,
+            batch.core_seconds,
+            spare_cores=spare,
+            earliest_s=work / cores if cores > 0 else math.inf,
+            jitter=jitter,
+            now=now,
+        )
+
+    def record_refusal(self, now: float) -> None:
+        """Record a job that was refused as the runners can't do it in time."""
+        self._last_refusal_at = now
+        self.refused = self.refused + 1 if self.is_short else 1
+        self.is_short = True
+
+    def advance(self, now: float) -> None:
+        """End a shortage after a time without refusals and without waiting jobs."""
+        if len(self._queue):
+            self._last_refusal_at = now
+        elif now - self._last_refusal_at > SHORTAGE_END_S:
+            self.is_short = False
+
+    def _cpu_ahead(self, batch: _job_queue.TaskBatch, within_s: float, now: float) -> float:
+        """Return the CPU that jobs ahead of a job keep from it until its latest start."""
+        key = (batch.is_late, batch.priority)
+        ahead = _occupied(self._urgent_flows(key, now), within_s)
+        lane = self._queue.lane_by_key.get(key)
+        if lane is not None and lane.batches:
+            ahead += _net_cpu(*lane.ahead_of(batch), within_s)
+        return ahead
+
+    def _urgent_flows(self, key: tuple[bool, int], now: float) -> list[tuple]:
+        """Return the work of the lanes ahead of one: what waits, and what arrives a second.
+
+        Each is `(cpu, core seconds, cpu a second, core seconds a second)`.
+        """
+        is_late, priority = key
+        flow_by_lane = {
+            lane_key: (lane.cpu, lane.core_seconds, 0.0, 0.0)
+            for lane_key, lane in self._queue.lane_by_key.items()
+            if lane_key < key and lane.batches
+        }
+        for each, demand in self._advanced_demands(now):
+            if each < priority or is_late:
+                cpu, core_seconds, _, _ = flow_by_lane.get((False, each), (0, 0.0, 0.0, 0.0))
+                rate = EXPECTED_SHARE / LATELY_S
+                flow_by_lane[False, each] = (
+                    cpu,
+                    core_seconds,
+                    demand.cpu * rate,
+                    demand.core_seconds * rate,
+                )
+        return list(flow_by_lane.values())
+
+    def _advanced_demands(self, now: float):
+        for demand in self._demand_by_priority.values():
+            if demand.updated_at != now:
+                demand.advance(now)
+        return self._demand_by_priority.items()
+
+    def _room_for(self, batch: _job_queue.TaskBatch) -> int:
+        return self._runners.room_for(batch.min_cpu, batch.cpu)
+
+    def _margin(
+        self, batch: _job_queue.TaskBatch, free: int, ahead: float, within_s: float, now: float
+    ) -> float:
+        """Return by how much CPU the supply until a time exceeds what a job needs by then.
+
+        `free` is what is free for its tasks now. Tasks that end within the time make room for
+        others of the same job.
+        """
+        freed_cpu = self._runners.expected_ends.freed_cpu
+        supply = free + freed_cpu(now, within_s)
+        if batch.run_s > within_s or not supply:
+            return supply - ahead - batch.cpu
+        starts, run_s = supply, max(batch.run_s, within_s / MAX_ROUNDS, _expected_ends.SLOT_S)
+        earlier_s = within_s - run_s
+        while earlier_s > -1e-9:
+            starts += free + freed_cpu(now, earlier_s)
+            earlier_s -= run_s
+        return supply - ahead - batch.cpu * supply / starts
+
+
+def _occupied(flows: list[tuple], within_s: float) -> float:
+    """Return the CPU that the work of `_urgent_flows` occupies at the end of a time."""
+    occupied = 0.0
+    for cpu, core_seconds, cpu_per_s, core_seconds_per_s in flows:
+        flow_cpu = cpu + cpu_per_s * within_s
+        net_cpu = (core_seconds / within_s + core_seconds_per_s) * 1000
+        occupied += min(flow_cpu, net_cpu)
+    return occupied
+
+
+def _net_cpu(cpu: float, core_seconds: float, within_s: float) -> float:
+    """Return the CPU that tasks occupy at the end of a time; those that end earlier share CPU."""
+    return min(cpu, core_seconds * 1000 / within_s) if within_s > 0 else cpu
--- a/src/daisyfall/process/_placement_service.py
+++ b/src/daisyfall/process/_placement_service.py
@@ -1,5 +1,6 @@
 """Placement of tasks on runners, which the leader does for all entries."""
 
+import itertools
 import random
 from collections.abc import Callable
 
@@ -9,6 +10,9 @@
 from daisyfall import _clock, _pool_wire
 from daisyfall.policy import _job_queue, _runner_capacity, _scheduler
 
+# Element of `AllocationReport.ends` for a task of which the agent doesn't know the end.
+UNKNOWN_END = (0, 0.0)
+
 Decision = _pool_wire.TasksPlaced | _pool_wire.PlacementRefused
 
 
@@ -21,6 +25,7 @@
     def __init__(self, rng: random.Random, deliver: Callable[[str, Decision], None]):
         self._scheduler = _scheduler.Scheduler(rng)
         self._deliver = deliver
+        self._refused_by_short_pool: dict[str, int] = {}
 
     @property
     def queued(self) -> int:
@@ -35,8 +40,10 @@
         """Place tasks or queue them for placement."""
         self._deliver_decisions(self._scheduler.submit(batch, _clock.monotonic()))
 
-    def submit_request(self, entry_id: str, message: _pool_wire.PlaceTasks) -> None:
-        """Handle a placement request of another entry."""
+    def submit_request(
+        self, entry_id: str, message: _pool_wire.PlaceTasks, data_centre: str = ""
+    ) -> None:
+        """Handle a placement request of another entry, which is in a data centre."""
         now = _clock.monotonic()
         self.submit(
             _job_queue.TaskBatch(
@@ -51,6 +58,8 @@
                 has_started=message.has_started,
                 late_deadline=now + message.late_deadline_ms / 1000,
                 route=message.route,
+                data_centre=data_centre,
+                served=message.served,
             )
         )
 
@@ -71,9 +80,26 @@
         """Place no more tasks on the runner of an agent that can't be reached."""
         self._scheduler.mark_runner_unreachable(agent_id)
 
+    @property
+    def short_pools(self) -> int:
+        """Return in how many pools the runners can't do all work in time."""
+        return len(self._refused_by_short_pool)
+
     def advance(self) -> None:
         """Place queued tasks that fit and refuse those that have expired."""
         self._deliver_decisions(self._scheduler.advance(_clock.monotonic()))
+        self._log_shortages()
+
+    def _log_shortages(self) -> None:
+        """Log the pools whose shortage has begun or ended."""
+        refused_by_pool = self._scheduler.refused_by_short_pool()
+        for pool in refused_by_pool.keys() - self._refused_by_short_pool.keys():
+            log = loguru.logger.bind(pool=pool, queued=self._scheduler.queued)
+            log.bind(cores=self._scheduler.cores(pool)).warning("pool is short of runners")
+        for pool in self._refused_by_short_pool.keys() - refused_by_pool.keys():
+            log = loguru.logger.bind(pool=pool, refused=self._refused_by_short_pool[pool])
+            log.warning("pool is no longer short of runners")
+        self._refused_by_short_pool = refused_by_pool
 
     def record_task_end(self, agent_id: str, message: _pool_wire.AllocationReleased) -> None:
         """Release the capacity of a task that has ended."""
@@ -87,11 +113,21 @@
     def sync_allocations(self, agent_id: str, message: _pool_wire.AllocationReport) -> None:
         """Replace the known allocations on a runner by those that its agent reports."""
         now = _clock.monotonic()
+        allocated_at = now - _runner_capacity.CONFIRMATION_TIMEOUT_S
+        ends = itertools.chain(message.ends, itertools.repeat(UNKNOWN_END))
         allocation_by_task = {
             task: _runner_capacity.Allocation(
-                cpu, memory_mb, accelerators, now - _runner_capacity.CONFIRMATION_TIMEOUT_S, job_id
+                cpu,
+                memory_mb,
+                accelerators,
+                allocated_at,
+                job_id,
+                now + left_ms / 1000,
+                run_ms / 1000,
+            )
+            for (task, job_id, cpu, memory_mb, accelerators), (left_ms, run_ms) in zip(
+                message.allocations, ends, strict=False
             )
-            for task, job_id, cpu, memory_mb, accelerators in message.allocations
         }
         self._scheduler.sync_allocations(agent_id, allocation_by_task, now)
         self._scheduler.update_slowness(agent_id, message.slowness)
--- a/src/daisyfall/process/_pool_agent.py
+++ b/src/daisyfall/process/_pool_agent.py
@@ -283,7 +283,9 @@
             if session.is_scheduling and now - session.reported_at >= ALLOCATION_REPORT_INTERVAL_S:
                 if report is None:
                     report = _pool_wire.AllocationReport(
-                        self._runs.allocations(), self._runs.slowness(now)
+                        self._runs.allocations(),
+                        self._runs.slowness(now),
+                        self._runs.expected_ends(now),
                     )
                 session.reported_at = now
                 session.link.send(report)
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -149,6 +149,7 @@
         self.metrics.set_state(
             jobs=len(self._jobs),
             queued=self._placement.queued,
+            short_pools=self._placement.short_pools,
             links=len(self.peers.link_by_id),
             configuration_version=self.shared.version,
         )
@@ -206,6 +207,7 @@
         now = _clock.monotonic()
         link = self.peers.link_by_id.get(self._leadership.leader_id)
         if link is None:
+            batch.data_centre = self.settings.data_centre
             self._placement.submit(batch)
             return
         link.send(
@@ -220,6 +222,7 @@
                 [list(attrs.astuple(demand)) for demand in batch.demands],
                 round((batch.late_deadline - now) * 1000),
                 batch.route,
+                batch.served,
             )
         )
 
@@ -335,7 +338,7 @@
         match message:
             case _pool_wire.PlaceTasks():
                 self._leadership.record_request(_clock.monotonic())
-                self._placement.submit_request(peer_id, message)
+                self._placement.submit_request(peer_id, message, link.peer.data_centre)
             case _pool_wire.CancelPlacement():
                 self._placement.withdraw(peer_id, message.job_id)
             case _pool_wire.CancelJob():
--- a/src/daisyfall/request/_pool_job_manager.py
+++ b/src/daisyfall/request/_pool_job_manager.py
@@ -8,7 +8,7 @@
 
 from daisyfall import _clock, _pool_wire
 from daisyfall.connection import _link
-from daisyfall.policy import _bounds, _job_queue, _runner_crashes
+from daisyfall.policy import _bounds, _fair_shares, _job_queue, _runner_crashes
 from daisyfall.process import _pool_metrics
 from daisyfall.request import _dispatched_tasks, _estimates, _pending_answers, _pool_jobs
 
@@ -48,6 +48,7 @@
         self._unreconciled_agents: set[str] = set()
         self._dispatched = _dispatched_tasks.DispatchedTasks()
         self._estimates = _estimates.Estimates()
+        self._served = _fair_shares.ServedWork()
         self._shutdown_deadline = math.inf
 
     def set_callbacks(
@@ -281,7 +282,9 @@
         if any(self._crashes.is_given_up(task.name) for task in tasks):
             self._finish(job, _pool_jobs.Answer(_pool_jobs.Outcome.FAILED, CRASHES_RUNNERS))
         elif tasks:
-            self._place(job.request_placement(tasks, self._entry_id))
+            batch = job.request_placement(tasks, self._entry_id)
+            batch.served = self._served.lately(batch.route, _clock.monotonic())
+            self._place(batch)
 
     def _dispatch(self, job: _pool_jobs.Job, placed: _pool_wire.TasksPlaced) -> None:
         if placed.request_id not in job.request_ids:
@@ -303,6 +306,8 @@
                 self._metrics.observe_first_start(now - job.arrived_at)
             run_request = job.dispatch(task, agent_id, AGENT_QUEUE_WAIT_MS, round(now * 1000))
             self._dispatched.add(job, task)
+            core_seconds = run_request.cpu * task.expected_ms / 1e6
+            self._served.add(run_request.route, core_seconds, now)
             self._on_dispatch(agent_id)
             task.agent_incarnation = link.peer.incarnation
             agent_by_run[f"{name}/{run_request.run}"] = agent_id
--- a/src/daisyfall/request/_runs.py
+++ b/src/daisyfall/request/_runs.py
@@ -347,6 +347,15 @@
             for order in orders
         ]
 
+    def expected_ends(self, now: float) -> list[list]:
+        """Return `[ms until the expected end, expected run ms]`, in the order of `allocations`."""
+        ends = [
+            (run.order.expected_ms, now - (run.started_at or run.ordered_at))
+            for run in self.run_by_task.values()
+        ]
+        ends += [(queued.order.expected_ms, 0.0) for queued in self._queue]
+        return [[round(expected_ms - ran_s * 1000), expected_ms] for expected_ms, ran_s in ends]
+
     def _apply_ended(self, snapshot: _leased_runner.RunSnapshot, now: float) -> list[RunEnd | None]:
         ends = []
         for listed_end in snapshot.ended:
