--- a/features/shortage_replay.py
+++ b/features/shortage_replay.py
@@ -56,8 +56,8 @@
     arrived_at: float
     run_s: float
     task_run_s: list[float]
+    cpu: int
     batch: _job_queue.TaskBatch
-    data_centre: str = ""
     started: set[str] = attrs.Factory(set)
     running: dict[str, str] = attrs.Factory(dict)
     ended: int = 0
@@ -74,7 +74,7 @@
 
     @property
     def verdict(self) -> str:
-        """Return `in time`, `late`, `refused` or `lost`."""
+        """Return `in time`, `late`, `refused`, `given up` or `lost`."""
         if self.refused_at < math.inf:
             return "given up" if self.started else "refused"
         after_s = self.ended_at - self.arrived_at
@@ -91,11 +91,12 @@
         self.scheduler = _scheduler.Scheduler(random.Random(seed))
         self.kinds = kinds
         self.length_s = length_s
-        self.data_centres = data_centres
+        self.data_centres = itertools.cycle(data_centres)
+        self.callers_return = self.checks_order = False
         self.events = []
         self.order = itertools.count()
         self.job_by_id = {}
-        self.running_cpu = 0
+        self.overtaken, self.placements = [], []
         for number, cpu in enumerate(runner_cpus):
             self._add_runner(f"r{number}", cpu)
         # Runners that have just come back idle are a recovery.
@@ -163,11 +164,9 @@
             start_deadline=start_deadline,
             late_deadline=min(at + _pool_jobs.MAX_LATE_WAIT_FRACTION * wait_s, start_deadline),
             route=kind.name,
+            data_centre=next(self.data_centres),
         )
-        data_centre = self.rng.choice(self.data_centres)
-        if data_centre:
-            batch.data_centre = data_centre
-        return ReplayedJob(name, kind, at, run_s, task_run_s, batch, data_centre)
+        return ReplayedJob(name, kind, at, run_s, task_run_s, cpu, batch)
 
     def _spread(self, sigma):
         return math.exp(self.rng.gauss(-sigma * sigma / 2, sigma))
@@ -175,6 +174,9 @@
     def _arrive(self, now, job):
         self.job_by_id[job.id] = job
         self._apply(self.scheduler.submit(job.batch, now), now)
+        if self.callers_return and job.refused_at < math.inf and not job.id.endswith("+"):
+            again = self.new_job(f"{job.id}+", job.kind, now + job.retry_after_s)
+            self.push(again.arrived_at, self._arrive, again)
 
     def _advance(self, now):
         self._apply(self.scheduler.advance(now), now)
@@ -207,6 +209,9 @@
             job = self.job_by_id[decision.batch.job_id]
             match decision:
                 case _scheduler.Placement(runner_by_task=runner_by_task):
+                    if self.checks_order:
+                        self._check_order(job, len(runner_by_task) * job.cpu, now)
+                    self.placements += runner_by_task.items()
                     for task, runner in runner_by_task.items():
                         job.started.add(task)
                         job.running[task] = runner
@@ -215,6 +220,15 @@
                 case _scheduler.Refusal():
                     self._refuse(job, decision, now)
 
+    def _check_order(self, job, cpu, now):
+        """Record the more urgent jobs that wait though the CPU of a placed job would do."""
+        for other in self.job_by_id.values():
+            batch = other.batch
+            if batch.priority < job.kind.priority and batch.demands and now < batch.latest_start:
+                needed = batch.min_cpu if batch.has_started else batch.cpu
+                if other.verdict == "lost" and batch.min_cpu <= job.cpu and needed <= cpu:
+                    self.overtaken.append((other, job))
+
     def _refuse(self, job, refusal, now):
         job.refused_at, job.reason = now, refusal.reason
         job.retry_after_s = refusal.retry_after_s
--- a/src/daisyfall/policy/_expected_ends.py
+++ b/src/daisyfall/policy/_expected_ends.py
@@ -12,9 +12,10 @@
 # Sums are kept for this many slots ahead; later times count like the last one.
 FORECAST_SLOTS = 100
 FORECAST_S = FORECAST_SLOTS * SLOT_S
-# A task whose run time is unknown is expected to end within about this time.
+# A task that has passed its expected end is expected to end within this share of its run time.
+OVERRUN_SHARE = 0.3
+# Run time of a task if it is unknown; such a task counts as one that has passed its expected end.
 UNKNOWN_RUN_S = 1.0
-OVERRUN = 0.3
 # Times that differ by a whole number of slots must not fall into the slot before by rounding.
 ROUNDING = 1e-6
 
@@ -66,7 +67,7 @@
     def freed_cpu(self, now: float, within_s: float) -> int:
         """Return the CPU that becomes free within a time from now.
 
-        A task that has passed its expected end frees its CPU within about its run time.
+        Tasks that have passed their expected ends free their CPU bit by bit.
         """
         slot = int(now / SLOT_S)
         if slot != self._forecast_slot:
@@ -87,7 +88,7 @@
         overdue, cpu_seconds = self._overdue.cpu, self._overdue.cpu_seconds
         if overdue <= 0:
             return forecast[index]
-        mean_run_s = max(OVERRUN * cpu_seconds / overdue, SLOT_S)
+        mean_run_s = max(OVERRUN_SHARE * cpu_seconds / overdue, SLOT_S)
         return forecast[index] + int(overdue * min(1.0, within_s / mean_run_s))
 
     def _collect_overdue(self, slot: int) -> None:
@@ -104,7 +105,7 @@
 
     def _add(self, allocation, sign: int) -> None:
         slot = int(allocation.expected_end / SLOT_S)
-        if slot < self._first_slot:
+        if slot < self._first_slot or not allocation.run_s:
             total = self._overdue
         else:
             del self._forecast[max(slot - self._forecast_slot, 0) :]
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -268,17 +268,16 @@
         self, batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates, now: float
     ) -> list[Placement]:
         """Place the tasks of a batch that fit; remove it from the queue if none is left."""
-        if batch.is_late and not self._runners(batch.pool).has_spare():
-            return []
         if not self._shortage(batch.pool).may_start(batch, now):
             return []
-        cpu, core_seconds = batch.cpu, batch.core_seconds
+        cpu, core_seconds, was_late = batch.cpu, batch.core_seconds, batch.is_late
         runner_by_task, remaining = _place_tasks(batch, candidates)
         if not runner_by_task:
             return []
         self._record_start(batch, remaining)
         cpu, core_seconds = cpu - batch.cpu, core_seconds - batch.core_seconds
-        self._shortage(batch.pool).record_placement(batch.priority, cpu, core_seconds, now)
+        if not was_late:
+            self._shortage(batch.pool).record_placement(batch.priority, cpu, core_seconds, now)
         self._shares(batch.pool).record_placement(batch, core_seconds, now)
         return [Placement(batch, runner_by_task)]
 
@@ -293,6 +292,9 @@
             return
         if is_queued:
             del self._batch_by_id[batch.id]
+            if not batch.has_started:
+                shortage = self._shortage(batch.pool)
+                shortage.record_end_of_wait(batch.priority, is_refused=False)
             queue.remove(batch)
         batch.set_demands(remaining)
         batch.has_started = True
@@ -307,6 +309,7 @@
         expired = self._queue(pool).pop_expired(now, keeps_late=is_recovering)
         for batch in expired:
             del self._batch_by_id[batch.id]
+            self._shortage(pool).record_end_of_wait(batch.priority, is_refused=True)
         return [self._refusal(batch, EXPIRED, now) for batch in expired]
 
     def _refuse_displaced(self, pool: str, now: float) -> list[Refusal]:
@@ -314,6 +317,7 @@
         displaced = self._shortage(pool).review(now)
         for batch in displaced:
             self._remove(batch)
+            self._shortage(pool).record_end_of_wait(batch.priority, is_refused=True)
         return [self._refusal(batch, DISPLACED, now) for batch in displaced]
 
     def _remove(self, batch: _job_queue.TaskBatch) -> None:
--- a/src/daisyfall/policy/_shortage.py
+++ b/src/daisyfall/policy/_shortage.py
@@ -17,18 +17,27 @@
 
 from daisyfall.policy import _expected_ends, _job_queue, _pool_runners, _retry_slots
 
-# Share of the time until its latest start within which an arriving job must be expected to start.
-# The rest covers run times that vary, so that few jobs are refused after they have waited.
-ARRIVAL_SHARE = 1.0
-REVIEW_SHARE = 1.25
+# Share of the time until its latest start within which a queued job must be expected to start,
+# so that one that was accepted isn't refused for a small change of what is expected.
+QUEUED_SHARE = 1.25
+# Least share of the time until its latest start within which an arriving job must be expected to
+# start. The share is smaller the more accepted jobs were refused after they had waited.
+MIN_ARRIVAL_SHARE = 0.5
+# Weight of each accepted job in the moving average of those that were refused.
+DISPLACED_SMOOTHING = 0.02
+# Share of the work that arrived lately and is expected to arrive again. Arrivals vary, and a job
+# that waits needs only one moment in which there is room for it.
 EXPECTED_SHARE = 0.85
-# Share of that time that the work ahead of a job of a confined route may take.
+# Share of the time until its latest start that the work ahead of a job of a confined route may
+# take.
 BULKHEAD_SHARE = 0.5
 # The queued jobs are examined this often, and this often if jobs arrive that may displace some.
 REVIEW_INTERVAL_S = 0.04
 MIN_REVIEW_INTERVAL_S = 0.005
 # Time over which the work of more urgent jobs is averaged.
 LATELY_S = 0.5
+# A late job may use the last CPU that is free if it would be refused within this time.
+LAST_CHANCE_S = 0.1
 # A shortage is over if nothing waited and no job was refused for this time.
 SHORTAGE_END_S = 1.0
 # How often short tasks can be expected to follow each other on the CPU that becomes free.
@@ -66,12 +75,13 @@
         # By lane, the CPU that jobs ahead may ask for until one of the lane can't be in time.
         self._margin_by_lane: dict[tuple, float] = {}
         self._needs_review = False
+        self._displaced_share_by_priority: dict[int, float] = {}
         self._last_refusal_at = -math.inf
         self.refused = 0
         self.is_short = False
 
     def record_placement(self, priority: int, cpu: int, core_seconds: float, now: float) -> None:
-        """Record tasks that have got their CPU."""
+        """Record tasks that have got their CPU, except of late jobs, which don't come again."""
         demand = self._demand_by_priority.get(priority)
         if demand is None:
             demand = self._demand_by_priority[priority] = RecentDemand(updated_at=now)
@@ -104,10 +114,31 @@
             return True
         if not self.is_predictable():
             return now < batch.latest_start
-        return self.can_start_in_time(batch, now, ARRIVAL_SHARE)
+        return self.can_start_in_time(batch, now, self._arrival_share(batch.priority))
+
+    def _arrival_share(self, priority: int) -> float:
+        """Return the share of its time within which an arriving job must be expected to start.
+
+        It falls with the share of the accepted jobs that were refused nevertheless.
+        """
+        displaced_share = self._displaced_share_by_priority.get(priority, 0.0)
+        return max(MIN_ARRIVAL_SHARE, 1.0 - displaced_share)
+
+    def record_end_of_wait(self, priority: int, *, is_refused: bool) -> None:
+        """Record whether a job that waited was refused or has started."""
+        share = self._displaced_share_by_priority.get(priority, 0.0)
+        share += DISPLACED_SMOOTHING * (is_refused - share)
+        self._displaced_share_by_priority[priority] = share
 
     def may_start(self, batch: _job_queue.TaskBatch, now: float) -> bool:
-        """Return whether a job may start: all its tasks fit, or the others will in time."""
+        """Return whether a job may start: all its tasks fit, or the others will in time.
+
+        Late jobs leave spare capacity to jobs in time, until they would be refused otherwise.
+        """
+        if batch.is_late and not (
+            self._runners.has_spare() or batch.late_deadline - now < LAST_CHANCE_S
+        ):
+            return False
         if batch.has_started or len(batch.demands) == 1:
             return True
         return (
@@ -196,7 +227,7 @@
             if not (
                 batch.has_started or self._is_confined(batch) or self._waits_for_return(batch, now)
             ):
-                within_s = REVIEW_SHARE * (batch.expires_at - now)
+                within_s = QUEUED_SHARE * (batch.expires_at - now)
                 within_s = min(max(within_s, _expected_ends.SLOT_S), _expected_ends.FORECAST_S)
                 ahead = _occupied(urgent, within_s) + _net_cpu(cpu, core_seconds, within_s)
                 free = self._room_for(batch) if batch.min_cpu <= most_free else 0
