--- a/src/daisyfall/policy/_pool_runners.py
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -17,7 +17,7 @@
 
 import sortedcontainers
 
-from daisyfall.policy import _confinement, _runner_capacity, _runner_health
+from daisyfall.policy import _confinement, _expected_ends, _runner_capacity, _runner_health
 
 # A runner this slow gets no task while others of the pool are faster, even if those are full.
 EXCLUSION_SLOWNESS = 3.0
@@ -53,6 +53,7 @@
 
     def __init__(self) -> None:
         self.confinement = _confinement.Confinement()
+        self.expected_ends = _expected_ends.ExpectedEnds()
         self.runner_by_id: dict[str, _runner_capacity.RunnerCapacity] = {}
         self.healthy_cpu = 0
         self.free_cpu = 0
@@ -78,6 +79,7 @@
     def remove(self, runner: _runner_capacity.RunnerCapacity) -> None:
         """Remove a runner."""
         del self.runner_by_id[runner.id]
+        self.expected_ends.remove(runner.id)
         self._forget(runner.id)
 
     def update(self, runner: _runner_capacity.RunnerCapacity) -> None:
@@ -87,10 +89,13 @@
         keys = None
         if is_healthy and runner.is_available:
             keys = (_preference(runner), (runner.free_cpu, runner.id), runner.offered_cpu)
+            self.expected_ends.update(runner.id, runner.allocation_by_task)
             if keys == self._keys_by_id.get(runner.id):
                 return
         was_available = self._forget(runner.id)
-        if keys is not None:
+        if keys is None:
+            self.expected_ends.remove(runner.id)
+        else:
             is_idle = runner.free_cpu >= IDLE_SHARE * runner.cpu
             if not was_available and is_idle and runner.share == 1.0:
                 self._returned_cpu += runner.cpu
@@ -99,7 +104,7 @@
             self._by_free_cpu.add(keys[1])
             self.healthy_cpu += runner.offered_cpu
             self.free_cpu += runner.free_cpu
-        elif not is_healthy:
+        if not is_healthy:
             self._ejected_ids.add(runner.id)
             if runner.is_available:
                 self._unhealthy_by_id[runner.id] = runner
@@ -142,6 +147,15 @@
         """Return whether so much is free that late jobs don't delay others."""
         return self.free_cpu > SPARE_SHARE * self.healthy_cpu
 
+    def room_for(self, cpu: int, needed: int) -> int:
+        """Return how much of the CPU that is needed is free for tasks of a size."""
+        room = 0
+        for free_cpu, _ in reversed(self._by_free_cpu):
+            if free_cpu < cpu or room >= needed:
+                break
+            room += free_cpu // cpu * cpu if cpu else free_cpu
+        return min(room, needed)
+
     def max_free_cpu(self, now: float) -> int:
         """Return the most CPU that a runner which accepts tasks has free, -1 without any.
 
@@ -181,6 +195,7 @@
         """Return a copy on which tasks can be placed without a change of this pool."""
         other = copy.copy(self)
         other.confinement = copy.deepcopy(self.confinement)
+        other.expected_ends = copy.deepcopy(self.expected_ends)
         other.runner_by_id = {
             runner_id: runner.copy() for runner_id, runner in self.runner_by_id.items()
         }
@@ -193,6 +208,8 @@
 
     def _excluded_step(self, now: float) -> float:
         """Return the slowness step from which runners are left out, as others are faster."""
+        if self._by_preference and self._by_preference[0][0] < _EXCLUSION_STEP:
+            return _EXCLUSION_STEP
         steps = [step for step, _, _ in self._probed(now)]
         steps += [step for step, _, _ in self._by_preference[:1]]
         return _EXCLUSION_STEP if min(steps, default=0) < _EXCLUSION_STEP else math.inf
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -180,6 +180,7 @@
             "jobs": len(self._jobs),
             "waiting": self._jobs.limits.waiting,
             "queued": self._placement.queued,
+            "short_pools": self._placement.short_pools,
             "links": len(self.peers.link_by_id),
             "configuration_version": self.shared.version,
             "evacuated_data_centres": len(self.shared.evacuated),
@@ -244,6 +245,7 @@
         now = _clock.monotonic()
         link = self.peers.link_by_id.get(self._leadership.leader_id)
         if link is None:
+            batch.data_centre = self.settings.data_centre
             self._placement.submit(batch)
             return
         link.send(
@@ -258,6 +260,7 @@
                 [list(attrs.astuple(demand)) for demand in batch.demands],
                 round((batch.late_deadline - now) * 1000),
                 batch.route,
+                batch.served,
             )
         )
 
@@ -385,7 +388,7 @@
         match message:
             case _pool_wire.PlaceTasks():
                 self._leadership.record_request(_clock.monotonic())
-                self._placement.submit_request(peer_id, message)
+                self._placement.submit_request(peer_id, message, link.peer.data_centre)
             case _pool_wire.CancelPlacement():
                 self._placement.withdraw(peer_id, message.job_id)
             case _pool_wire.CancelJob():
--- a/src/daisyfall/request/_pool_job_manager.py
+++ b/src/daisyfall/request/_pool_job_manager.py
@@ -8,7 +8,7 @@
 
 from daisyfall import _clock, _pool_wire
 from daisyfall.connection import _link
-from daisyfall.policy import _bounds, _evacuations, _job_queue, _runner_crashes
+from daisyfall.policy import _bounds, _evacuations, _fair_shares, _job_queue, _runner_crashes
 from daisyfall.process import _pool_metrics
 from daisyfall.request import (
     _dispatched_tasks,
@@ -57,6 +57,7 @@
         self._dispatched = _dispatched_tasks.DispatchedTasks()
         self._held = _held_tasks.HeldTasks()
         self._estimates = _estimates.Estimates()
+        self._served = _fair_shares.ServedWork()
         self.limits = _job_limits.JobLimits(rng, _clock.monotonic())
         self.evacuated: frozenset[str] = frozenset()
 
@@ -298,8 +299,11 @@
         if any(self._crashes.is_given_up(task.name) for task in tasks):
             self._finish(job, _pool_jobs.Answer(_pool_jobs.Outcome.FAILED, CRASHES_RUNNERS))
         elif tasks:
-            self.limits.record_request(job, _clock.monotonic())
-            self._place(job.request_placement(tasks, self._entry_id))
+            now = _clock.monotonic()
+            self.limits.record_request(job, now)
+            batch = job.request_placement(tasks, self._entry_id)
+            batch.served = self._served.lately(batch.route, now)
+            self._place(batch)
 
     def _dispatch(self, job: _pool_jobs.Job, placed: _pool_wire.TasksPlaced) -> None:
         if placed.request_id not in job.request_ids:
@@ -331,6 +335,8 @@
                 self.limits.record_start(job)
             run_request = job.dispatch(task, agent_id, AGENT_QUEUE_WAIT_MS, round(now * 1000))
             self._dispatched.add(job, task)
+            core_seconds = run_request.cpu * task.expected_ms / 1e6
+            self._served.add(run_request.route, core_seconds, now)
             self._on_dispatch(agent_id)
             task.agent_incarnation = link.peer.incarnation
             agent_by_run[f"{name}/{run_request.run}"] = agent_id
