--- a/features/steps/shortage_steps.py
+++ b/features/steps/shortage_steps.py
@@ -358,7 +358,7 @@
     service = _placement_service.PlacementService(
         random.Random(1), lambda _, decision: context.decisions.append(decision)
     )
-    service.update_runner("r1", _pool_wire.RunnerState("r1", "pool", 1000, 100, 0, [], True))
+    service.update_runner("r1", _pool_wire.RunnerState("r1", "pool", 1000, 100, 0, [], True), "dc")
     ends = [[100, 400.0]] if "ends" in form else []
     message = _pool_wire.AllocationReport([["x.0.0", "x", 1000, 10, 0]], 0.0, ends)
     service.sync_allocations("r1", _codec.decode(_codec.encode(message)))
