--- a/features/shortage.feature
+++ b/features/shortage.feature
@@ -51,6 +51,30 @@
     Then all jobs are in time
     And the placements are the 6064 of the rule before, with checksum d3c76ee4
 
+  # The work of its first tasks would be lost, and other jobs could have used their CPU.
+  Scenario: a job doesn't start in part if its other tasks are expected to start too late
+    Given a scheduler with runners r1:2000
+    And job a of 1 tasks of 1000 arrives
+    And job b of 1 tasks of 1000 arrives
+    When job c of 2 tasks of 1000 arrives with its latest start in 0.15 s
+    And 0.124 s pass
+    And the task of job a ends
+    Then job c is not placed
+    And job c is not refused
+    When 0.03 s pass
+    Then job c is refused as overdue
+
+  # It would wait to its latest start, and its caller would lose the time for another attempt.
+  Scenario: a queued job that more urgent jobs push past its latest start is refused at once
+    Given a scheduler with runners r1:1000
+    And job a of 1 tasks of 1000 arrives
+    When job b of priority 2 arrives with its latest start in 0.5 s
+    And job c of priority 0 arrives with its latest start in 0.9 s
+    Then job b is not refused
+    When job d of 5 tasks of 1000 arrives with its latest start in 0.9 s
+    Then job b is refused as displaced
+    And job d is not refused
+
   # Otherwise its tasks run although the job is late, and its caller hears it only at the deadline.
   Scenario: a refused job has never started, whatever arrives
     When 40 random loads are replayed
