--- a/features/shortage.feature
+++ b/features/shortage.feature
@@ -72,6 +72,7 @@
     And job c of priority 0 arrives with its latest start in 0.9 s
     Then job b is not refused
     When job d of 5 tasks of 1000 arrives with its latest start in 0.9 s
+    And 0.02 s pass
     Then job b is refused as displaced
     And job d is not refused
 
