Annotate the decisions under shortage, and ignore a request without tasks

Cause: a placement request without tasks would have ended the link of its entry by an IndexError. Measured: behave shortage, pool_policy, confinement, runner_crashes, pool_work, pool_runs passed.

--- a/src/daisyfall/policy/_expected_ends.py
+++ b/src/daisyfall/policy/_expected_ends.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from daisyfall.policy import _runner_capacity
+
 # Expected ends are summed in slots of this length. An end counts from the start of its slot.
 SLOT_S = 0.02
 # Sums are kept for this many slots ahead; later times count like the last one.
@@ -36,13 +38,15 @@
 
     def __init__(self) -> None:
         self._total_by_slot: dict[int, SlotTotal] = {}
-        self._counted_by_runner: dict[str, dict] = {}
+        self._counted_by_runner: dict[str, dict[str, _runner_capacity.Allocation]] = {}
         self._overdue = SlotTotal()
         self._first_slot = 0
         self._forecast: list[int] = []
         self._forecast_slot = -1
 
-    def update(self, runner_id: str, allocation_by_task: Mapping) -> None:
+    def update(
+        self, runner_id: str, allocation_by_task: Mapping[str, _runner_capacity.Allocation]
+    ) -> None:
         """Count the allocations of a runner instead of the ones counted for it before."""
         counted = self._counted_by_runner.get(runner_id)
         if counted is None:
@@ -106,7 +110,7 @@
             self._overdue.cpu_seconds += total.cpu_seconds
         self._first_slot = max(slot, self._first_slot)
 
-    def _add(self, allocation, sign: int) -> None:
+    def _add(self, allocation: _runner_capacity.Allocation, sign: int) -> None:
         slot = int(allocation.expected_end / SLOT_S)
         if slot < self._first_slot or not allocation.run_s:
             total = self._overdue
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -128,7 +128,7 @@
 
     def submit(self, batch: _job_queue.TaskBatch, now: float) -> list[Placement | Refusal]:
         """Queue the tasks of a job; return the decisions that could be made at once."""
-        if batch.id in self._batch_by_id:
+        if batch.id in self._batch_by_id or not batch.demands:
             return []
         confinement = self._runners(batch.pool).confinement
         confinement.record_work(batch.route, batch.core_seconds, now)
--- a/src/daisyfall/policy/_shortage.py
+++ b/src/daisyfall/policy/_shortage.py
@@ -12,6 +12,7 @@
 """
 
 import math
+from collections.abc import Iterable
 
 import attrs
 
@@ -240,7 +241,9 @@
             core_seconds += batch.core_seconds
         return least
 
-    def book_retry(self, batch: _job_queue.TaskBatch, cores: float, jitter: float, now: float):
+    def book_retry(
+        self, batch: _job_queue.TaskBatch, cores: float, jitter: float, now: float
+    ) -> float:
         """Return after how many seconds the caller of a refused job should retry."""
         used = sum(
             demand.core_seconds
@@ -304,7 +307,7 @@
                 )
         return list(flow_by_lane.values())
 
-    def _advanced_demands(self, now: float):
+    def _advanced_demands(self, now: float) -> Iterable[tuple[int, RecentDemand]]:
         for demand in self._demand_by_priority.values():
             if demand.updated_at != now:
                 demand.advance(now)
