--- a/features/steps/shortage_steps.py
+++ b/features/steps/shortage_steps.py
@@ -344,11 +344,7 @@
 
 @then("route b is favoured and route a isn't")
 def check_favoured(context):
-    found = {}
-    for route in ("a", "b"):
-        batch = batch_of(route)
-        context.shares.record_request(batch, 1.2)
-        found[route] = context.shares.is_under_share(batch, 1.2)
+    found = {route: context.shares.is_under_share(batch_of(route), 1.2) for route in ("a", "b")}
     assert found == {"a": False, "b": True}, found
 
 
--- a/src/daisyfall/policy/_fair_shares.py
+++ b/src/daisyfall/policy/_fair_shares.py
@@ -96,8 +96,7 @@
         work, jobs = self._work_by_route.setdefault(batch.route, (DecayingSum(), DecayingSum()))
         work.add(batch.core_seconds, now)
         jobs.add(1.0, now)
-        batch.group = self._group_of(batch)
-        sums = self._sums(batch.group)
+        sums = self._sums(self._group_of(batch))
         sums.asked.add(batch.core_seconds, now)
         if batch.served:
             known = self._given(batch)
@@ -110,19 +109,27 @@
 
     def record_placement(self, batch, core_seconds: float, now: float) -> None:
         """Record the expected work of tasks that were placed."""
-        self._sums(batch.group).given.add(core_seconds, now)
+        self._sums(self._group_of(batch)).given.add(core_seconds, now)
         self._given(batch).add(core_seconds, now)
 
     def _group_of(self, batch) -> Group:
-        work, jobs = self._work_by_route[batch.route]
-        is_large = batch.core_seconds * jobs.value > LARGE_FACTOR * work.value
-        return Group(batch.priority, batch.route, batch.data_centre, is_large)
+        """Return the group of a job, which stays the same while its tasks start."""
+        if batch.group is None:
+            is_large = False
+            if batch.route in self._work_by_route:
+                work, jobs = self._work_by_route[batch.route]
+                is_large = batch.core_seconds * jobs.value > LARGE_FACTOR * work.value
+            batch.group = Group(batch.priority, batch.route, batch.data_centre, is_large)
+        return batch.group
 
     def is_under_share(self, batch, now: float) -> bool:
-        """Return whether the group of a job was given clearly less than its max-min share."""
+        """Return whether the group of a job was given clearly less than its max-min share.
+
+        Asked before the job is recorded, as its group can't have been given that work yet.
+        """
         if now - self._levels_computed_at >= LEVEL_INTERVAL_S:
             self._compute_levels(now)
-        sums = self._sums_by_group.get(batch.group)
+        sums = self._sums_by_group.get(self._group_of(batch))
         level = self._level_by_priority.get(batch.priority)
         if sums is None or level is None:
             return False
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -133,9 +133,9 @@
         confinement = self._runners(batch.pool).confinement
         confinement.record_work(batch.route, batch.core_seconds, now)
         shares = self._shares(batch.pool)
-        shares.record_request(batch, now)
         queue = self._queue(batch.pool)
         batch.is_favoured = bool(len(queue)) and shares.is_under_share(batch, now)
+        shares.record_request(batch, now)
         candidates = self._candidates(batch.pool, now)
         refusal = self._refuse_on_arrival(batch, candidates, now)
         if refusal is not None:
