--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -156,14 +156,14 @@
 
     def submit(self, batch: _job_queue.TaskBatch, now: float) -> list[Placement | Refusal]:
         """Queue the tasks of a job; return the decisions that could be made at once."""
-        if batch.id in self._batch_by_id:
+        if batch.id in self._batch_by_id or not batch.demands:
             return []
         confinement = self._runners(batch.pool).confinement
         confinement.record_work(batch.route, batch.core_seconds, now)
         shares = self._shares(batch.pool)
-        shares.record_request(batch, now)
         queue = self._queue(batch.pool)
         batch.is_favoured = bool(len(queue)) and shares.is_under_share(batch, now)
+        shares.record_request(batch, now)
         candidates = self._candidates(batch.pool, now)
         refusal = self._refuse_on_arrival(batch, candidates, now)
         if refusal is not None:
