--- a/features/pool_stand_ins.py
+++ b/features/pool_stand_ins.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from daisyfall import _clock, _pool_wire
+from daisyfall.connection import _link
 from daisyfall.policy import _bounds
 from daisyfall.process import _leased_runner
 
@@ -49,6 +50,37 @@
         self.timing = timing
 
 
+class RecordingHandler:
+    """Handler of an entry's links; `dialled` holds the ids of the nodes in order."""
+
+    def __init__(self):
+        self.dialled = []
+        self.opened = 0
+        self.opened_at = 0.0
+        self.errors = []
+
+    def handshake(self, node):
+        self.dialled.append(node.id)
+        return handshake("entry", "e")
+
+    def on_opened(self, _node, link):
+        self.opened += 1
+        self.opened_at = _clock.monotonic()
+        link.set_timing(_link.HeartbeatTiming(1.0, 5.0))
+
+    def on_message(self, _node, _link, _message):
+        pass
+
+    def on_closed(self, _node, _link):
+        pass
+
+    def heartbeat(self, _node):
+        return _pool_wire.Heartbeat()
+
+    def count_link_error(self, reason):
+        self.errors.append(reason)
+
+
 class FakeRunner:
     """Runner that confirms starts and, unless told otherwise, stops.
 
--- a/features/steps/deferred_metrics_steps.py
+++ b/features/steps/deferred_metrics_steps.py
@@ -38,29 +38,22 @@
 
 @then("they are rendered as by the classes of the Prometheus library")
 def check_rendering(context):
-    registry = prometheus_client.CollectorRegistry()
     prometheus_client.disable_created_metrics()
+    registry = prometheus_client.CollectorRegistry()
 
-    def name(suffix):
-        return f"daisyfall_{suffix}"
+    def expect(kind, name, help_text, *labels, **options):
+        return kind(f"daisyfall_{name}", help_text, labels, registry=registry, **options)
 
-    prometheus_client.Counter(
-        name("internal_errors"),
-        "Unexpected errors that were passed over",
-        ["where"],
-        registry=registry,
-    )
-    prometheus_client.Counter(name("a"), "help a", ["why"], registry=registry).labels("x").inc(2)
-    prometheus_client.Counter(name("b"), "help b", registry=registry).inc(5)
-    labelled = prometheus_client.Histogram(
-        name("c"), "help c", ["kind"], buckets=BOUNDS, registry=registry
-    )
-    plain = prometheus_client.Histogram(name("d"), "help d", buckets=BOUNDS, registry=registry)
+    errors = "Unexpected errors that were passed over"
+    expect(prometheus_client.Counter, "internal_errors", errors, "where")
+    expect(prometheus_client.Counter, "a", "help a", "why").labels("x").inc(2)
+    expect(prometheus_client.Counter, "b", "help b").inc(5)
+    labelled = expect(prometheus_client.Histogram, "c", "help c", "kind", buckets=BOUNDS)
+    plain = expect(prometheus_client.Histogram, "d", "help d", buckets=BOUNDS)
     for seconds in TIMES:
         labelled.labels("ok").observe(seconds)
         plain.observe(seconds)
-    gauge = prometheus_client.Gauge(name("e"), "help e", ["quantity"], registry=registry)
-    gauge.labels("jobs").set(3)
+    expect(prometheus_client.Gauge, "e", "help e", "quantity").labels("jobs").set(3)
     expected = prometheus_client.generate_latest(registry).decode()
     assert context.metrics.render().decode() == expected, expected
 
--- a/features/steps/pool_links_steps.py
+++ b/features/steps/pool_links_steps.py
@@ -277,33 +277,13 @@
     check_started(context)
 
 
-class RaisingHandler:
+class RaisingHandler(pool_stand_ins.RecordingHandler):
     """Handler of an entry's links that raises at the first message."""
 
-    def __init__(self):
-        self.opened = 0
-        self.errors = []
-
-    def handshake(self, _node):
-        return pool_stand_ins.handshake("entry", "e")
-
-    def on_opened(self, _node, link):
-        self.opened += 1
-        link.set_timing(_link.HeartbeatTiming(1.0, 5.0))
-
     def on_message(self, _node, _link, _message):
         if self.opened == 1:
             raise RuntimeError("a mistake in the handler")
 
-    def on_closed(self, _node, _link):
-        pass
-
-    def heartbeat(self, _node):
-        return _pool_wire.Heartbeat()
-
-    def count_link_error(self, reason):
-        self.errors.append(reason)
-
 
 @given("an entry's links, whose handler raises at the first message")
 def make_peers(context):
