Shorten the gradual return after a short evacuation

Cause: a data centre that was evacuated for less than a second offered a quarter of its capacity afterwards, though most of its tasks still ran.

Change: the return lasts at most as long as the evacuation; what is left of an earlier return counts.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -82,12 +82,15 @@
     Then it has room for <cpu> after <seconds> s
 
     Examples:
-      | reason                    | seconds | cpu  |
-      | evacuated and taken back  | 0       | 2000 |
-      | evacuated and taken back  | 1.1     | 4000 |
-      | evacuated and taken back  | 2.1     | 6000 |
-      | evacuated and taken back  | 3.1     | 8000 |
-      | cut off and reached again | 0       | 8000 |
+      | reason                          | seconds | cpu  |
+      | evacuated for 9 s               | 0       | 2000 |
+      | evacuated for 9 s               | 1.1     | 4000 |
+      | evacuated for 9 s               | 2.1     | 6000 |
+      | evacuated for 9 s               | 3.1     | 8000 |
+      | evacuated for 0.5 s             | 0       | 6000 |
+      | evacuated for 0.5 s             | 0.6     | 8000 |
+      | evacuated for 9 s and for 0.5 s | 0       | 2000 |
+      | cut off and reached again       | 0       | 8000 |
 
   # An entry that was paused or cut off doesn't know of the evacuation.
   Scenario: an agent refuses the orders of an entry that doesn't know of the evacuation
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -238,8 +238,12 @@
     )
     scheduler.update_runner(runner)
     if reason.startswith("evacuated"):
-        scheduler.set_evacuated(frozenset({"z1"}), 99.0)
-        scheduler.set_evacuated(frozenset(), 100.0)
+        # The last evacuation ends at 100 s.
+        durations_s = [float(text.split()[0]) for text in reason.split("for ")[1:]]
+        for number, duration_s in enumerate(durations_s):
+            ended_at = 100.0 - sum(durations_s[number + 1 :])
+            scheduler.set_evacuated(frozenset({"z1"}), ended_at - duration_s)
+            scheduler.set_evacuated(frozenset(), ended_at)
     else:
         scheduler.mark_runner_unreachable("r")
         scheduler.update_runner(attrs.evolve(runner, is_open=True))
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -87,8 +87,10 @@
 
         Runners of a data centre that is no longer among them return gradually.
         """
+        for data_centre in data_centres - self._evacuated:
+            self._returns.evacuate(data_centre, now)
         for data_centre in self._evacuated - data_centres:
-            self._returns.begin(data_centre, now)
+            self._returns.take_back(data_centre, now)
         self._evacuated = data_centres
         self._share_by_data_centre = self._returns.share_by_data_centre(now)
         for runner in self.runner_by_id.values():
