Place tasks by their expected end, with runners in classes of speed

Cause: the choice of a runner ignored its speed, though runners of one pool differ by kind, and examined all runners if the preferred rack was full. Change: runners are kept in classes of speed; a choice compares the first ones of each class and those of the preferred rack by the expected end. Ends within half of a job's slack count the same. A rack in demand is kept for the tasks that prefer it. CPU counts by speed. Runners that failed or are slow are ejected and get work back step by step.

--- a/features/steps/pool_policy_steps.py
+++ b/features/steps/pool_policy_steps.py
@@ -303,7 +303,7 @@
 @given("{runner} takes {times:g} times the expected run times")
 def slow_down(context, runner, times):
     for _ in range(20):
-        context.scheduler.update_slowness(runner, times)
+        context.scheduler.update_speed(runner, times, context.now)
 
 
 @step("job {job} of {tasks:d} tasks of {cpu:d} arrives")
--- /dev/null
+++ b/src/daisyfall/policy/_candidates.py
@@ -0,0 +1,180 @@
+"""Choice of the runner for a task.
+
+Answers runners of uneven speed, and tasks whose data is on one rack. Each task goes to the runner
+on which it is expected to end first. Runners on which it ends early enough for its job count the
+same; of these, that with the largest free share of its CPU is taken, so that tasks don't queue at
+one runner while another one is idle. So long tasks go to fast runners, and short ones, for which
+the difference is small, to any. A task whose preferred rack has no room runs on another one.
+"""
+
+import math
+from collections.abc import Callable
+
+from daisyfall.policy import _pool_runners, _runner_capacity
+
+# A run that uses up at most this share of the time that its job may lose is early enough; the rest
+# covers run times that vary.
+SLACK_SHARE = 0.5
+
+
+class Candidates:
+    """The runners that may get a task at one moment; `max_free_cpu` is the most that one has free.
+
+    With `only`, tasks are placed on that runner of the pool or not at all.
+    """
+
+    def __init__(
+        self,
+        pool: _pool_runners.PoolRunners,
+        now: float,
+        only: _runner_capacity.RunnerCapacity | None = None,
+    ) -> None:
+        self._pool = pool
+        self.now = now
+        self._only = only
+        self._update_max_free_cpu()
+
+    def choose(
+        self,
+        demand: _runner_capacity.Demand,
+        route: str = "",
+        slack_ms: float = 0.0,
+        ends_with_ms: float = 0.0,
+    ) -> _runner_capacity.RunnerCapacity | None:
+        """Return the runner for a task of a route, None if it has to wait.
+
+        `slack_ms` is how much later the job may end without missing its objective, `ends_with_ms`
+        the time until its other tasks end. The runners of a rack that other tasks prefer, and of
+        confined routes, are the last choice for others.
+        """
+        if demand.cpu > self.max_free_cpu:
+            return None
+        fits = self._eligibility(demand, route)
+        if self._only is not None:
+            return self._only if fits(self._only) else None
+        run_ms = demand.expected_ms
+        good_ms = max(run_ms + SLACK_SHARE * max(slack_ms, 0.0), ends_with_ms)
+        near, near_ms = self._choose_near(demand, fits, good_ms)
+        factor = self._pool.remote_factor if demand.preferred_rack else 1.0
+        if near is not None and (factor == 1.0 or near_ms <= good_ms):
+            return near
+        far, far_ms = self._choose_by_class(demand, fits, run_ms * factor, good_ms)
+        if far is None or (near is not None and near_ms <= max(far_ms, good_ms)):
+            return near or far
+        return far
+
+    def _eligibility(
+        self, demand: _runner_capacity.Demand, route: str
+    ) -> Callable[[_runner_capacity.RunnerCapacity], bool]:
+        """Return a predicate for the runners that may run a task now."""
+        bulkhead = self._pool.confinement.bulkhead(route)
+        avoided = demand.avoid if demand.avoid and self._has_alternative(demand, bulkhead) else ()
+        self._reserved = self._pool.confinement.reserved if bulkhead is None else ()
+
+        def is_eligible(runner: _runner_capacity.RunnerCapacity) -> bool:
+            return (
+                (bulkhead is None or runner.id in bulkhead)
+                and runner.fits(demand)
+                and runner.has_label(demand)
+                and runner.id not in avoided
+                and not _is_at_step_limit(runner, demand)
+            )
+
+        return is_eligible
+
+    def _choose_near(
+        self, demand: _runner_capacity.Demand, is_eligible: Callable, good_ms: float
+    ) -> tuple[_runner_capacity.RunnerCapacity | None, float]:
+        """Return the best runner of the preferred rack, and when the task ends there."""
+        best, best_key, best_ms = None, (), math.inf
+        if not demand.preferred_rack:
+            return best, best_ms
+        for runner in self._pool.of_rack(demand.preferred_rack, self.now):
+            if runner.id in self._reserved or not is_eligible(runner):
+                continue
+            end_ms = self.run_ms(runner, demand)
+            key = (max(end_ms, good_ms), -runner.free_share, runner.id)
+            if best is None or key < best_key:
+                best, best_key, best_ms = runner, key, end_ms
+        return best, best_ms
+
+    def _choose_by_class(
+        self,
+        demand: _runner_capacity.Demand,
+        is_eligible: Callable,
+        run_ms: float,
+        good_ms: float,
+    ) -> tuple[_runner_capacity.RunnerCapacity | None, float]:
+        """Return the best runner of all racks, and when the task ends there.
+
+        `run_ms` is the run time on a runner of speed 1.0.
+        """
+        best, best_free, best_ms = None, 0.0, math.inf
+        kept = reserved = None
+        for speed, order in self._pool.by_class(self.now):
+            end_ms = run_ms / speed
+            if best is not None and end_ms > max(best_ms, good_ms):
+                break
+            for free, runner_id in order:
+                if best is not None and free >= best_free:
+                    break
+                runner = self._pool.runner_by_id[runner_id]
+                if not is_eligible(runner):
+                    if -free * self._pool.largest_cpu < demand.cpu:
+                        break
+                elif runner_id in self._reserved:
+                    reserved = reserved or (runner, end_ms)
+                elif self._pool.is_kept(runner, demand.preferred_rack):
+                    kept = kept or (runner, end_ms)
+                else:
+                    best, best_free = runner, free
+                    best_ms = min(best_ms, end_ms)
+                    break
+        if best is not None:
+            return best, best_ms
+        return kept or reserved or (None, math.inf)
+
+    def run_ms(
+        self, runner: _runner_capacity.RunnerCapacity, demand: _runner_capacity.Demand
+    ) -> float:
+        """Return the expected run time of a task on a runner."""
+        is_far = demand.preferred_rack and demand.preferred_rack not in runner.labels
+        factor = self._pool.remote_factor if is_far else 1.0
+        return demand.expected_ms * factor / self._pool.speed(runner)
+
+    def allocate(
+        self, runner: _runner_capacity.RunnerCapacity, demand: _runner_capacity.Demand
+    ) -> None:
+        """Allocate the resources of a task on the runner that was chosen for it."""
+        runner.allocate(demand, self.now)
+        self._pool.update(runner)
+        self._update_max_free_cpu()
+
+    def _update_max_free_cpu(self) -> None:
+        if self._only is None:
+            self.max_free_cpu = self._pool.max_free_cpu(self.now)
+            return
+        is_usable = self._pool.accepts_tasks(self._only, self.now)
+        self.max_free_cpu = self._only.free_cpu if is_usable else -1
+
+    def _has_alternative(
+        self, demand: _runner_capacity.Demand, bulkhead: frozenset[str] | None
+    ) -> bool:
+        """Return whether a runner that the task doesn't avoid could ever run it."""
+        return any(
+            runner.id not in demand.avoid
+            and (bulkhead is None or runner.id in bulkhead)
+            and runner.is_available
+            and runner.fits_when_empty(demand)
+            for runner in self._pool.runner_by_id.values()
+        )
+
+
+def _is_at_step_limit(
+    runner: _runner_capacity.RunnerCapacity, demand: _runner_capacity.Demand
+) -> bool:
+    if not demand.max_per_runner:
+        return False
+    step = demand.task.rpartition(".")[0]
+    siblings = sum(task.rpartition(".")[0] == step for task in runner.allocation_by_task)
+    return siblings >= demand.max_per_runner
--- a/src/daisyfall/policy/_job_queue.py
+++ b/src/daisyfall/policy/_job_queue.py
@@ -19,7 +19,7 @@
 
 import attrs
 
-from daisyfall.policy import _pool_runners, _runner_capacity
+from daisyfall.policy import _candidates, _runner_capacity
 
 # Bounds memory; at the usual job size a full queue holds several seconds of work.
 MAX_QUEUED_BATCHES = 4_000
@@ -103,7 +103,7 @@
         with contextlib.suppress(ValueError):
             self._batches.remove(batch)
 
-    def placeable(self, candidates: _pool_runners.Candidates) -> Iterator[TaskBatch]:
+    def placeable(self, candidates: _candidates.Candidates) -> Iterator[TaskBatch]:
         """Yield the batches of which a task may fit, in queue order."""
         for batch in list(self._batches):
             if batch.min_cpu <= candidates.max_free_cpu:
--- a/src/daisyfall/policy/_pool_runners.py
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -1,25 +1,26 @@
 """Runners of one pool, ordered for the choice of a runner.
 
-Each task goes to the runner with the largest free share of its CPU among those that are not
-slow, so that tasks don't queue at one runner while another one is idle.
-
 The order is kept up to date at each change of a runner, so that a choice examines a few runners
 whatever the size of the pool: it answers many short tasks on hundreds of runners, most of which
-are full while load is at its worst.
+are full while load is at its worst. Runners of about the same speed form a class; only the first
+runners of each class are examined, and those of the rack that a task prefers.
 """
 
 import heapq
 import math
 from collections.abc import Iterable, Iterator
 
-import sortedcontainers
-
-from daisyfall.policy import _confinement, _runner_capacity, _runner_health
+from daisyfall.policy import (
+    _confinement,
+    _rack_demand,
+    _runner_capacity,
+    _runner_health,
+    _runner_order,
+    _runner_speed,
+)
 
 # A runner this slow gets no task while others of the pool are faster, even if those are full.
 EXCLUSION_SLOWNESS = 3.0
-# Slowness is compared in steps of this size, so that noise doesn't outweigh free capacity.
-SLOWNESS_STEP = 0.5
 # A pool recovers while this share of its CPU has come back idle within one to two of these
 # intervals. Runners that come back busy were there before: a new scheduling entry learns of them.
 RECOVERED_SHARE = 0.2
@@ -28,7 +29,7 @@
 IDLE_SHARE = 0.5
 # Share of a pool's CPU that late jobs leave free.
 SPARE_SHARE = 0.15
-_EXCLUSION_STEP = int((EXCLUSION_SLOWNESS - 1.0) / SLOWNESS_STEP)
+_EXCLUSION_CLASS = _runner_speed.class_of(1 / EXCLUSION_SLOWNESS)
 
 
 class PoolRunners:
@@ -37,21 +38,29 @@
     `update` has to be called after each change of a runner's capacity, state or health.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, remote_factor: float = 1.0) -> None:
+        self.remote_factor = remote_factor
         self.confinement = _confinement.Confinement()
+        self.speeds = _runner_speed.SpeedTable()
+        self.rack_demand = _rack_demand.RackDemand()
         self.runner_by_id: dict[str, _runner_capacity.RunnerCapacity] = {}
+        # CPU in thousandths of a core of speed 1.0.
         self.healthy_cpu = 0
         self.free_cpu = 0
         self._returned_cpu = 0
         self._previous_returned_cpu = 0
         self._interval_started_at = float("-inf")
-        # Healthy available runners as (slowness step, -free share, id) and as (free CPU, id).
-        self._by_preference = sortedcontainers.SortedList()
-        self._by_free_cpu = sortedcontainers.SortedList()
-        self._keys_by_id: dict[str, tuple[tuple, tuple, int]] = {}
+        # The runners that get tasks, without probes; `None` keys are of one that is at its limit.
+        self._order = _runner_order.RunnerOrder()
+        self._keys_by_id: dict[str, _runner_order.Keys | None] = {}
+        self._weighted_cpu_by_id: dict[str, tuple[int, int]] = {}
         # Available runners that are ejected, or whose probe is still running.
         self._unhealthy_by_id: dict[str, _runner_capacity.RunnerCapacity] = {}
         self._ejected_ids: set[str] = set()
+        self._runners_by_rack: dict[str, dict[str, _runner_capacity.RunnerCapacity]] = {}
+        self._labels_by_id: dict[str, tuple[str, ...]] = {}
+        # Upper bound of the CPU of each runner.
+        self.largest_cpu = 0
 
     def __len__(self) -> int:
         return len(self.runner_by_id)
@@ -65,45 +74,52 @@
         """Remove a runner."""
         del self.runner_by_id[runner.id]
         self._forget(runner.id)
+        self._set_labels(runner, ())
+        self.speeds.remove(runner.id)
 
     def update(self, runner: _runner_capacity.RunnerCapacity) -> None:
         """Add a runner, or put one that has changed in its place in the order."""
         self.runner_by_id[runner.id] = runner
-        is_healthy = runner.health.state is _runner_health.State.HEALTHY
-        keys = None
-        if is_healthy and runner.is_available:
-            keys = (_preference(runner), (runner.free_cpu, runner.id), runner.cpu)
-            if keys == self._keys_by_id.get(runner.id):
-                return
+        if self._labels_by_id.get(runner.id) != runner.labels:
+            self._set_labels(runner, runner.labels)
+        self.largest_cpu = max(self.largest_cpu, runner.cpu)
+        is_in_use = runner.health.is_in_use
         was_available = self._forget(runner.id)
-        if keys is not None:
-            if not was_available and runner.free_cpu >= IDLE_SHARE * runner.cpu:
-                self._returned_cpu += runner.cpu
-            self._keys_by_id[runner.id] = keys
-            self._by_preference.add(keys[0])
-            self._by_free_cpu.add(keys[1])
-            self.healthy_cpu += runner.cpu
-            self.free_cpu += runner.free_cpu
-        elif not is_healthy:
+        if is_in_use and runner.is_available:
+            self._add(runner)
+            is_back = not was_available and runner.free_cpu >= IDLE_SHARE * runner.cpu
+            if is_back and runner.health.state is _runner_health.State.HEALTHY:
+                self._returned_cpu += self._weighted_cpu_by_id[runner.id][0]
+        elif not is_in_use:
             self._ejected_ids.add(runner.id)
             if runner.is_available:
                 self._unhealthy_by_id[runner.id] = runner
 
     def advance(self, now: float) -> None:
-        """Forget what came back before the last intervals, and update the confined routes."""
+        """Forget what came back before the last intervals; update confined routes and racks."""
         # Runners that are down count, or a route would move on to sound ones.
         connected = (runner.id for runner in self.runner_by_id.values() if runner.has_report)
         self.confinement.update(connected, now)
+        self.rack_demand.update(self._cores_of_rack, now)
         if now - self._interval_started_at > RECOVERY_S:
             self._previous_returned_cpu, self._returned_cpu = self._returned_cpu, 0
             self._interval_started_at = now
 
+    def record_demands(self, demands: Iterable[_runner_capacity.Demand], now: float) -> None:
+        """Record the racks that arriving tasks prefer, if these matter for their run times."""
+        if self.remote_factor == 1.0:
+            return
+        for demand in demands:
+            if demand.preferred_rack:
+                core_seconds = demand.cpu * demand.expected_ms / 1e6
+                self.rack_demand.record(demand.preferred_rack, core_seconds, now)
+
     def cpu_for(self, route: str) -> int:
-        """Return the CPU of the healthy runners that accept tasks of a route."""
+        """Return the CPU of the healthy runners that accept tasks of a route, by their speed."""
         bulkhead = self.confinement.bulkhead(route)
         if bulkhead is None:
             return self.healthy_cpu
-        return sum(self._keys_by_id[each][2] for each in bulkhead if each in self._keys_by_id)
+        return sum(self._weighted_cpu_by_id.get(each, (0, 0))[0] for each in bulkhead)
 
     def is_recovering(self) -> bool:
         """Return whether the pool has no runner, or has just got many of them back idle."""
@@ -119,148 +135,114 @@
 
         A runner that is excluded for its slowness counts, so this is an upper bound.
         """
-        most = self._by_free_cpu[-1][0] if self._by_free_cpu else -1
+        most = self._order.max_free_cpu
         for runner in self._unhealthy_by_id.values():
             if runner.health.accepts_tasks(now):
                 most = max(most, runner.free_cpu)
         return most
 
-    def preferred(self, now: float) -> Iterator[_runner_capacity.RunnerCapacity]:
-        """Yield the runners that accept tasks, the preferred ones first."""
-        probed = sorted(self._probed(now))
-        excluded_step = self._excluded_step(now)
-        order = heapq.merge(self._by_preference, probed) if probed else self._by_preference
-        for step, _, runner_id in order:
-            if step >= excluded_step:
+    def by_class(self, now: float) -> Iterator[tuple[float, Iterable[tuple[float, str]]]]:
+        """Yield the runners that accept tasks: speed of a class, (minus free share, id) of each.
+
+        The fastest class comes first, and within a class the largest free share.
+        """
+        order_by_class = self._order.order_by_class
+        if not self._unhealthy_by_id:
+            classes, probes_by_class = self._order.classes, {}
+        else:
+            probes_by_class = self._probes_by_class(now)
+            classes = sorted({*probes_by_class, *order_by_class})
+        for speed_class in classes:
+            if speed_class >= _EXCLUSION_CLASS > classes[0]:
                 return
-            yield self.runner_by_id[runner_id]
+            order = order_by_class.get(speed_class, ())
+            probes = probes_by_class.get(speed_class)
+            yield (
+                _runner_speed.class_speed(speed_class),
+                heapq.merge(order, sorted(probes)) if probes else order,
+            )
+
+    def of_rack(self, rack: str, now: float) -> Iterator[_runner_capacity.RunnerCapacity]:
+        """Yield the runners of a rack that accept tasks."""
+        excluded_class = self._excluded_class(now)
+        for runner in self._runners_by_rack.get(rack, {}).values():
+            if self._accepts(runner, now) and self.speed_class(runner) < excluded_class:
+                yield runner
 
     def accepts_tasks(self, runner: _runner_capacity.RunnerCapacity, now: float) -> bool:
-        """Return whether a runner is among the preferred ones."""
-        return (
-            runner.is_available
-            and runner.health.accepts_tasks(now)
-            and _slowness_step(runner) < self._excluded_step(now)
-        )
-
-    def _excluded_step(self, now: float) -> float:
-        """Return the slowness step from which runners are left out, as others are faster."""
-        steps = [step for step, _, _ in self._probed(now)]
-        steps += [step for step, _, _ in self._by_preference[:1]]
-        return _EXCLUSION_STEP if min(steps, default=0) < _EXCLUSION_STEP else math.inf
-
-    def _probed(self, now: float) -> list[tuple[int, float, str]]:
-        """Return the preferences of the runners that are not healthy but may get a probe."""
-        return [
-            _preference(runner)
-            for runner in self._unhealthy_by_id.values()
-            if runner.health.accepts_tasks(now)
-        ]
+        """Return whether a runner may get a task."""
+        return self._accepts(runner, now) and self.speed_class(runner) < self._excluded_class(now)
+
+    def is_kept(self, runner: _runner_capacity.RunnerCapacity, rack: str) -> bool:
+        """Return whether a runner is kept for tasks that prefer its rack, which isn't `rack`."""
+        racks = self.rack_demand.racks
+        return bool(racks) and rack not in runner.labels and not racks.isdisjoint(runner.labels)
+
+    def speed_class(self, runner: _runner_capacity.RunnerCapacity) -> int:
+        """Return the speed class of a runner, that of its present slowness if it is slow."""
+        speed_class = self.speeds.speed_class(runner.id)
+        if runner.health.is_in_use and runner.health.is_slow:
+            return max(speed_class, _runner_speed.class_of(1 / runner.health.slowness))
+        return speed_class
+
+    def speed(self, runner: _runner_capacity.RunnerCapacity) -> float:
+        """Return the speed of a runner's class."""
+        return _runner_speed.class_speed(self.speed_class(runner))
+
+    def _accepts(self, runner: _runner_capacity.RunnerCapacity, now: float) -> bool:
+        return runner.is_available and runner.health.accepts_tasks(now) and not runner.is_at_limit
+
+    def _excluded_class(self, now: float) -> float:
+        """Return the class from which runners are left out, as others are faster."""
+        fastest = next(iter(self._order.classes), math.inf)
+        if self._unhealthy_by_id:
+            fastest = min([fastest, *self._probes_by_class(now)])
+        return _EXCLUSION_CLASS if fastest < _EXCLUSION_CLASS else math.inf
+
+    def _probes_by_class(self, now: float) -> dict[int, list[tuple[float, str]]]:
+        """Return the runners that are not in use but may get a probe."""
+        probes_by_class: dict[int, list[tuple[float, str]]] = {}
+        for runner in self._unhealthy_by_id.values():
+            if runner.health.accepts_tasks(now):
+                probes = probes_by_class.setdefault(self.speed_class(runner), [])
+                probes.append((-runner.free_share, runner.id))
+        return probes_by_class
+
+    def _cores_of_rack(self, rack: str) -> float:
+        runners = self._runners_by_rack.get(rack, ())
+        return sum(self._weighted_cpu_by_id.get(each, (0, 0))[0] for each in runners) / 1000
+
+    def _set_labels(self, runner: _runner_capacity.RunnerCapacity, labels: tuple[str, ...]) -> None:
+        for rack in self._labels_by_id.pop(runner.id, ())[1:]:
+            self._runners_by_rack[rack].pop(runner.id, None)
+        if labels:
+            self._labels_by_id[runner.id] = labels
+        for rack in labels[1:]:
+            self._runners_by_rack.setdefault(rack, {})[runner.id] = runner
+
+    def _add(self, runner: _runner_capacity.RunnerCapacity) -> None:
+        speed_class = self.speed_class(runner)
+        keys = None
+        if not runner.is_at_limit:
+            keys = (speed_class, -runner.free_share, runner.free_cpu, runner.id)
+            self._order.add(keys)
+        self._keys_by_id[runner.id] = keys
+        speed = _runner_speed.class_speed(speed_class)
+        weighted = (round(runner.cpu * speed), round(runner.free_cpu * speed))
+        self._weighted_cpu_by_id[runner.id] = weighted
+        self.healthy_cpu += weighted[0]
+        self.free_cpu += weighted[1]
 
     def _forget(self, runner_id: str) -> bool:
         """Take a runner out of the order; return whether it was in it."""
         self._ejected_ids.discard(runner_id)
         self._unhealthy_by_id.pop(runner_id, None)
-        keys = self._keys_by_id.pop(runner_id, None)
+        if runner_id not in self._keys_by_id:
+            return False
+        keys = self._keys_by_id.pop(runner_id)
         if keys is not None:
-            preference, free, cpu = keys
-            self._by_preference.remove(preference)
-            self._by_free_cpu.remove(free)
-            self.healthy_cpu -= cpu
-            self.free_cpu -= free[0]
-        return keys is not None
-
-
-class Candidates:
-    """The runners that may get a task at one moment; `max_free_cpu` is the most that one has free.
-
-    With `only`, tasks are placed on that runner of the pool or not at all.
-    """
-
-    def __init__(
-        self, pool: PoolRunners, now: float, only: _runner_capacity.RunnerCapacity | None = None
-    ) -> None:
-        self._pool = pool
-        self._now = now
-        self._only = only
-        self._update_max_free_cpu()
-
-    def choose(
-        self, demand: _runner_capacity.Demand, route: str = ""
-    ) -> _runner_capacity.RunnerCapacity | None:
-        """Return the runner for a task of a route, None if it has to wait.
-
-        The runners of confined routes are the last choice for other routes.
-        """
-        if demand.cpu > self.max_free_cpu:
-            return None
-        confinement = self._pool.confinement
-        bulkhead = confinement.bulkhead(route)
-        avoids = bool(demand.avoid) and self._has_alternative(demand, bulkhead)
-        far = reserved = None
-        for runner in self._runners():
-            if (
-                (bulkhead is not None and runner.id not in bulkhead)
-                or not runner.fits(demand)
-                or not runner.has_label(demand)
-                or (avoids and runner.id in demand.avoid)
-                or _is_at_step_limit(runner, demand)
-            ):
-                continue
-            if bulkhead is None and runner.id in confinement.reserved:
-                reserved = reserved or runner
-            elif not demand.preferred_rack or demand.preferred_rack in runner.labels:
-                return runner
-            else:
-                far = far or runner
-        return far or reserved
-
-    def allocate(
-        self, runner: _runner_capacity.RunnerCapacity, demand: _runner_capacity.Demand
-    ) -> None:
-        """Allocate the resources of a task on the runner that was chosen for it."""
-        runner.allocate(demand, self._now)
-        self._pool.update(runner)
-        self._update_max_free_cpu()
-
-    def _runners(self) -> Iterable[_runner_capacity.RunnerCapacity]:
-        if self._only is None:
-            return self._pool.preferred(self._now)
-        return [self._only] if self.max_free_cpu >= 0 else []
-
-    def _update_max_free_cpu(self) -> None:
-        if self._only is None:
-            self.max_free_cpu = self._pool.max_free_cpu(self._now)
-            return
-        is_usable = self._pool.accepts_tasks(self._only, self._now)
-        self.max_free_cpu = self._only.free_cpu if is_usable else -1
-
-    def _has_alternative(
-        self, demand: _runner_capacity.Demand, bulkhead: frozenset[str] | None
-    ) -> bool:
-        """Return whether a runner that the task doesn't avoid could ever run it."""
-        return any(
-            runner.id not in demand.avoid
-            and (bulkhead is None or runner.id in bulkhead)
-            and runner.is_available
-            and runner.fits_when_empty(demand)
-            for runner in self._pool.runner_by_id.values()
-        )
-
-
-def _is_at_step_limit(
-    runner: _runner_capacity.RunnerCapacity, demand: _runner_capacity.Demand
-) -> bool:
-    if not demand.max_per_runner:
-        return False
-    step = demand.task.rpartition(".")[0]
-    siblings = sum(task.rpartition(".")[0] == step for task in runner.allocation_by_task)
-    return siblings >= demand.max_per_runner
-
-
-def _preference(runner: _runner_capacity.RunnerCapacity) -> tuple[int, float, str]:
-    return (_slowness_step(runner), -runner.free_cpu / max(runner.cpu, 1), runner.id)
-
-
-def _slowness_step(runner: _runner_capacity.RunnerCapacity) -> int:
-    return int((max(1.0, runner.health.slowness) - 1.0) / SLOWNESS_STEP)
+            self._order.remove(keys)
+        weighted_cpu, weighted_free_cpu = self._weighted_cpu_by_id.pop(runner_id)
+        self.healthy_cpu -= weighted_cpu
+        self.free_cpu -= weighted_free_cpu
+        return True
--- a/src/daisyfall/policy/_runner_capacity.py
+++ b/src/daisyfall/policy/_runner_capacity.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from daisyfall.policy import _runner_health
+from daisyfall.policy import _departures, _runner_health
 
 # A placement that the runner's agent has not reported by then is released.
 CONFIRMATION_TIMEOUT_S = 0.4
@@ -45,7 +45,8 @@
     """One runner: its capacity, what is allocated and free, and its health.
 
     `is_open` tells that the runner accepts tasks, `has_report` that its agent has reported what
-    is allocated there; both are needed for a placement.
+    is allocated there; both are needed for a placement. `leaves_at` is when a draining runner goes
+    at the earliest.
     """
 
     id: str
@@ -64,6 +65,7 @@
     free_accelerators: int = 0
     # The most that this incarnation has had; it may shrink and grow again.
     largest: tuple[int, int, int] = (0, 0, 0)
+    leaves_at: float = _departures.NEVER
 
     def __attrs_post_init__(self) -> None:
         """Compute the free capacity."""
@@ -97,15 +99,15 @@
         self.free_accelerators -= demand.accelerators
         self.health.record_placement(now)
 
-    def release(self, task: str) -> bool:
-        """Release the resources of a task; return whether any were allocated."""
+    def release(self, task: str) -> Allocation | None:
+        """Release the resources of a task; return what was allocated, None if nothing was."""
         allocation = self.allocation_by_task.pop(task, None)
         if allocation is None:
-            return False
+            return None
         self.free_cpu += allocation.cpu
         self.free_memory_mb += allocation.memory_mb
         self.free_accelerators += allocation.accelerators
-        return True
+        return allocation
 
     def replace(self, allocation_by_task: dict[str, Allocation], now: float) -> None:
         """Replace the allocations by those that the agent reports.
@@ -118,6 +120,8 @@
                 and now - allocation.allocated_at < CONFIRMATION_TIMEOUT_S
             ):
                 allocation_by_task[task] = allocation
+            elif task in allocation_by_task:
+                allocation_by_task[task].allocated_at = allocation.allocated_at
         self.allocation_by_task = allocation_by_task
         self.has_report = True
         self.update_free()
@@ -127,6 +131,22 @@
         """Return whether the runner accepts tasks and its allocations are known."""
         return self.is_open and self.has_report
 
+    @property
+    def is_at_limit(self) -> bool:
+        """Return whether a returning runner has as many tasks as it may have for now."""
+        limit = self.health.task_limit
+        return bool(limit) and len(self.allocation_by_task) >= limit
+
+    @property
+    def kind(self) -> str:
+        """Return the kind of the runner, its first label; `""` without labels."""
+        return self.labels[0] if self.labels else ""
+
+    @property
+    def free_share(self) -> float:
+        """Return the free share of the runner's CPU."""
+        return self.free_cpu / max(self.cpu, 1)
+
     def has_label(self, demand: Demand) -> bool:
         """Return whether the runner has the label that the task requires, if any."""
         return not demand.label or demand.label in self.labels
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -4,7 +4,13 @@
 
 import attrs
 
-from daisyfall.policy import _job_queue, _pool_runners, _runner_capacity, _runner_health
+from daisyfall.policy import (
+    _candidates,
+    _job_queue,
+    _pool_runners,
+    _runner_capacity,
+    _runner_health,
+)
 
 # Outcomes that agents report when a task's resources are released.
 DONE = "done"
@@ -42,10 +48,15 @@
 
 
 class Scheduler:
-    """The queues by pool, and the capacity of all runners."""
+    """The queues by pool, and the capacity of all runners.
 
-    def __init__(self, rng: random.Random) -> None:
+    A task takes `remote_factor` times as long away from its preferred rack; 1.0 if that isn't
+    known.
+    """
+
+    def __init__(self, rng: random.Random, remote_factor: float = 1.0) -> None:
         self._rng = rng
+        self._remote_factor = remote_factor
         self.runner_by_id: dict[str, _runner_capacity.RunnerCapacity] = {}
         self._runners_by_pool: dict[str, _pool_runners.PoolRunners] = {}
         self._queue_by_pool: dict[str, _job_queue.JobQueue] = {}
@@ -64,10 +75,12 @@
             self._runners(known.pool).remove(known)
             known.pool = runner.pool
         known.labels, known.is_open = runner.labels, runner.is_open
+        known.leaves_at = runner.leaves_at
         if known.incarnation != runner.incarnation:
             known.incarnation = runner.incarnation
             known.health = _runner_health.RunnerHealth()
             known.largest = runner.largest
+            self._runners(known.pool).speeds.update(known.id, known.kind, 1.0, 0)
         known.resize(runner.cpu, runner.memory_mb, runner.accelerators)
         self._runners(known.pool).update(known)
 
@@ -89,32 +102,53 @@
             self._runners(runner.pool).update(runner)
 
     def record_task_end(
-        self, runner_id: str, task: str, job_id: str, outcome: str, now: float
+        self,
+        runner_id: str,
+        task: str,
+        job_id: str,
+        outcome: str,
+        now: float,
+        *,
+        slowdown: float = 0.0,
     ) -> list[Placement]:
-        """Release a task's resources, update the runner's health and place what fits there now."""
+        """Release a task's resources, update the runner's health and place what fits there now.
+
+        `slowdown` is its run time over the expected one, 0 if unknown.
+        """
         runner = self.runner_by_id.get(runner_id)
         if runner is None:
             return []
-        runner.release(task)
-        if outcome == DONE:
-            runner.health.record_success()
+        allocation = runner.release(task)
+        placed_at = allocation.allocated_at if allocation is not None else now
+        health = runner.health
+        if outcome == DONE and slowdown >= _runner_health.SLOW_RUNNER_SLOWNESS:
+            health.record_slow_task(placed_at, now)
+        elif outcome == DONE:
+            health.record_success(placed_at)
         elif outcome == FAILED:
-            may_eject = self._may_eject(runner.pool)
-            runner.health.record_failure(job_id, now, may_eject=may_eject)
+            health.record_failure(job_id, now, may_eject=self._may_eject(runner.pool))
         elif outcome in RUNNER_FAULTS:
-            may_eject = self._may_eject(runner.pool)
-            runner.health.record_fault(now, may_eject=may_eject)
+            health.record_fault(now, may_eject=self._may_eject(runner.pool))
         self._runners(runner.pool).update(runner)
         if not len(self._queue(runner.pool)):
             return []
-        return self._place(runner.pool, self._candidates(runner.pool, now, runner))
+        return self._place(runner.pool, self._candidate_runners(runner.pool, now, runner))
 
-    def update_slowness(self, runner_id: str, slowdown: float) -> None:
-        """Add a runner's median of run times over the expected ones, 0 if unknown."""
+    def update_speed(
+        self, runner_id: str, slowness: float, now: float, *, speed: float = 1.0, samples: int = 0
+    ) -> None:
+        """Set what the agent of a runner has measured.
+
+        `slowness` is the present median of run times over the expected ones, 0 if unknown, `speed`
+        the mean of expected run times over the measured ones in `samples` tasks.
+        """
         runner = self.runner_by_id.get(runner_id)
         if runner is not None:
-            runner.health.update_slowness(slowdown)
-            self._runners(runner.pool).update(runner)
+            runners = self._runners(runner.pool)
+            runners.speeds.update(runner_id, runner.kind, speed, samples)
+            may_eject = self._may_eject(runner.pool)
+            runner.health.update_slowness(slowness, now, may_eject=may_eject)
+            runners.update(runner)
 
     def submit(self, batch: _job_queue.TaskBatch, now: float) -> list[Placement | Refusal]:
         """Queue the tasks of a job; return the decisions that could be made at once."""
@@ -122,7 +156,8 @@
             return []
         confinement = self._runners(batch.pool).confinement
         confinement.record_work(batch.route, batch.core_seconds, now)
-        candidates = self._candidates(batch.pool, now)
+        self._runners(batch.pool).record_demands(batch.demands, now)
+        candidates = self._candidate_runners(batch.pool, now)
         refusal = self._refuse_on_arrival(batch, candidates, now)
         if refusal is not None:
             return [refusal]
@@ -155,7 +190,7 @@
             runners.advance(now)
         for pool, queue in self._queue_by_pool.items():
             if len(queue):
-                decisions += self._place(pool, self._candidates(pool, now))
+                decisions += self._place(pool, self._candidate_runners(pool, now))
                 decisions += self._refuse_expired(pool, now)
         return decisions
 
@@ -167,7 +202,10 @@
         return self._queue_by_pool.setdefault(pool, _job_queue.JobQueue())
 
     def _runners(self, pool: str) -> _pool_runners.PoolRunners:
-        return self._runners_by_pool.setdefault(pool, _pool_runners.PoolRunners())
+        runners = self._runners_by_pool.get(pool)
+        if runners is None:
+            runners = self._runners_by_pool[pool] = _pool_runners.PoolRunners(self._remote_factor)
+        return runners
 
     def _may_eject(self, pool: str) -> bool:
         """Return whether one more runner may be ejected.
@@ -177,13 +215,13 @@
         runners = self._runners(pool)
         return runners.ejected < max(1, int(len(runners) * MAX_EJECTED_FRACTION))
 
-    def _candidates(
+    def _candidate_runners(
         self, pool: str, now: float, only: _runner_capacity.RunnerCapacity | None = None
-    ) -> _pool_runners.Candidates:
-        return _pool_runners.Candidates(self._runners(pool), now, only)
+    ) -> _candidates.Candidates:
+        return _candidates.Candidates(self._runners(pool), now, only)
 
     def _refuse_on_arrival(
-        self, batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates, now: float
+        self, batch: _job_queue.TaskBatch, candidates: _candidates.Candidates, now: float
     ) -> Refusal | None:
         pool = self._runners(batch.pool)
         runners = pool.runner_by_id.values()
@@ -217,7 +255,7 @@
         after_s = _job_queue.retry_after_s(work, self.cores(batch.pool, batch.route), jitter)
         return Refusal(batch, reason, after_s)
 
-    def _place(self, pool: str, candidates: _pool_runners.Candidates) -> list[Placement]:
+    def _place(self, pool: str, candidates: _candidates.Candidates) -> list[Placement]:
         queue = self._queue(pool)
         decisions = []
         runners = self._runners(pool)
@@ -252,17 +290,18 @@
         self._queue(batch.pool).remove(batch)
 
 
-def _place_tasks(
-    batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates
-) -> dict[str, str]:
+def _place_tasks(batch: _job_queue.TaskBatch, candidates: _candidates.Candidates) -> dict[str, str]:
     """Place as many tasks of a batch as fit, the longest first; return runner ids by task."""
     runner_by_task: dict[str, str] = {}
     remaining = []
+    slack_ms = (batch.latest_start - candidates.now) * 1000
+    ends_with_ms = 0.0
     for demand in batch.demands:
-        runner = candidates.choose(demand, batch.route)
+        runner = candidates.choose(demand, batch.route, slack_ms, ends_with_ms)
         if runner is None:
             remaining.append(demand)
             continue
+        ends_with_ms = max(ends_with_ms, candidates.run_ms(runner, demand))
         candidates.allocate(runner, demand)
         runner_by_task[demand.task] = runner.id
     if runner_by_task:
