Report slowness and departures of runners at once, and move tasks off runners that leave

Cause: slowness was a median that tasks ended up to 2 s before still held down, was reported every 0.3 s and averaged twice; the remaining time of a draining runner was used by nothing. Change: slowness is what each running task has done since it was last seen, by the runner's clock, and is reported at once when a runner turns slow. Reports carry a learnt speed. Agents know the preferred rack, so that a run far from its data doesn't count as slow. A task that can't end before its runner leaves is ended as leaving, once, while it can still end elsewhere in time.

--- a/features/steps/pool_runs_steps.py
+++ b/features/steps/pool_runs_steps.py
@@ -5,7 +5,7 @@
 
 from daisyfall import _pool_wire
 from daisyfall.process import _leased_runner
-from daisyfall.request import _runs
+from daisyfall.request import _run, _runs
 
 QUEUE_TIMEOUT_MS = 100
 EXPECTED_MS = 500.0
@@ -104,7 +104,7 @@
 
 @when("the runner is replaced")
 def replace_runner(context):
-    record_ends(context, context.runs.clear(_runs.LOST, context.now))
+    record_ends(context, context.runs.clear(_run.LOST, context.now))
 
 
 @then("the reported ends are {ends}")
@@ -188,7 +188,7 @@
 def progress_all(context, percent, seconds):
     running = [_leased_runner.RunProgress(task, 1, percent) for task in context.runs.run_by_task]
     apply_snapshot(context, tuple(running), (), seconds)
-    context.runs.mark_stragglers(context.now)
+    context.runs.mark_rescheduled(context.now)
 
 
 @when(
@@ -201,7 +201,7 @@
         for each in context.runs.run_by_task
     ]
     apply_snapshot(context, tuple(running), (), seconds)
-    context.runs.mark_stragglers(context.now)
+    context.runs.mark_rescheduled(context.now)
 
 
 @then("stops of {tasks} are due")
--- a/src/daisyfall/_pool_wire.py
+++ b/src/daisyfall/_pool_wire.py
@@ -62,7 +62,9 @@
 
     `may_reschedule` allows the agent to end the task on a slow runner, so that the entry has it
     placed elsewhere. `run` numbers the attempts of a task. `sent_ms` is the entry's monotonic
-    clock when the order was sent, 0 if unknown.
+    clock when the order was sent, 0 if unknown. On another rack than `preferred_rack` the task
+    takes longer. `latest_start_ms` after the order was sent, a run elsewhere could still meet the
+    objective of the job; 0 if none could.
     """
 
     task: str
@@ -77,6 +79,8 @@
     may_reschedule: bool = False
     sent_ms: int = 0
     route: str = ""
+    preferred_rack: str = ""
+    latest_start_ms: int = 0
 
 
 @_codec.message(53)
@@ -92,13 +96,15 @@
 class TaskEnded:
     """Agent to entry: a task ended or was refused.
 
-    `outcome` is how its run ended, as in `_leased_runner`, or the reason of the refusal.
+    `outcome` is how its run ended, as in `_leased_runner`, or the reason of the refusal. The run
+    took `remote_factor` times as long because it ran on another rack than the preferred one.
     """
 
     task: str
     run: int
     outcome: str
     run_ms: float
+    remote_factor: float = 1.0
 
 
 @_codec.message(55)
@@ -110,7 +116,11 @@
 
 @_codec.message(56)
 class RunnerState:
-    """Agent to entry: capacity of the agent's runner; `is_open` if it accepts tasks."""
+    """Agent to entry: capacity of the agent's runner; `is_open` if it accepts tasks.
+
+    A runner that leaves stays for at least `remaining_ms` after the message was sent, 0 if it
+    stays or that isn't known.
+    """
 
     runner_id: str
     pool: str
@@ -119,6 +129,7 @@
     accelerators: int
     labels: list
     is_open: bool
+    remaining_ms: int = 0
 
 
 @_codec.message(57)
@@ -126,20 +137,27 @@
     """Agent to the scheduling entry: all allocations of capacity at its runner.
 
     `allocations` holds `[task, job, cpu, memory_mb, accelerators]` for each task. `slowness` is
-    the median ratio of measured to expected run times, 0 if unknown.
+    the present median ratio of measured to expected run times, 0 if unknown; `speed` the mean
+    ratio of expected to measured run times over the last `samples` tasks of the runner.
     """
 
     allocations: list
     slowness: float
+    speed: float = 1.0
+    samples: int = 0
 
 
 @_codec.message(58)
 class AllocationReleased:
-    """Agent to the scheduling entry: a task ended and its capacity is free again."""
+    """Agent to the scheduling entry: a task ended and its capacity is free again.
+
+    `slowdown` is its run time over the expected one if it is done, else 0.
+    """
 
     task: str
     job_id: str
     outcome: str
+    slowdown: float = 0.0
 
 
 @_codec.message(59)
--- a/src/daisyfall/platform/_node_process.py
+++ b/src/daisyfall/platform/_node_process.py
@@ -29,6 +29,7 @@
         "cores": settings.cores,
         "started_ms": _clock.wall_ms(),
         "bounds": bounds,
+        "remote_factor": settings.remote_factor,
     }
 
 
--- a/src/daisyfall/platform/_node_settings.py
+++ b/src/daisyfall/platform/_node_settings.py
@@ -9,6 +9,7 @@
 STOP_MARGIN_S = 0.8
 DEFAULT_RESEND_MS = 1300.0
 DEFAULT_CONFIGURATION_MS = 2000.0
+UNKNOWN_REMOTE_FACTOR = 1.0
 
 
 class NodeSettingsError(Exception):
@@ -24,7 +25,8 @@
     a core times the speed of that core. `longest_lease_s` is the longest lease that the runner
     grants, `stop_task_s` the time in which it stops a task, `resend_s` the time after which a
     caller sends a request again, `grace_s` the time that the platform gives a process to stop, and
-    `configuration_bound_s` the time within which a confirmed configuration has to be in force.
+    `configuration_bound_s` the time within which a confirmed configuration has to be in force. A
+    task takes `remote_factor` times as long away from its preferred rack.
     """
 
     node_id: str
@@ -42,6 +44,7 @@
     resend_s: float
     grace_s: float
     configuration_bound_s: float
+    remote_factor: float = UNKNOWN_REMOTE_FACTOR
 
 
 def load(path: str, role_index: int) -> NodeSettings:
@@ -78,6 +81,9 @@
         grace_s=reader.number("Bounds.GraceS"),
         configuration_bound_s=reader.number("Bounds.ConfigApplyMs", DEFAULT_CONFIGURATION_MS)
         / 1000,
+        remote_factor=max(
+            reader.number("Bounds.RemoteFactor", UNKNOWN_REMOTE_FACTOR), UNKNOWN_REMOTE_FACTOR
+        ),
     )
 
 
--- a/src/daisyfall/policy/_runner_speed.py
+++ b/src/daisyfall/policy/_runner_speed.py
@@ -14,6 +14,8 @@
 
 # Declared run times are inaccurate: one sample may differ from the speed by at most this factor.
 MAX_SAMPLE_FACTOR = 2.5
+# Limit of the speeds that agents report, and of their reciprocals.
+MAX_SPEED = 20.0
 # Samples over which the speed of a runner is averaged.
 MAX_SAMPLES = 32
 # Weight of the speed of the kind in that of a runner, and of the speed 1.0 in that of a kind, in
@@ -90,7 +92,9 @@
         previous = self._measured_by_runner.get(runner_id)
         if previous is not None:
             self._totals_by_kind[previous.kind].add(previous, -1)
-        measured = _Measured(kind, math.log(speed), min(samples, MAX_SAMPLES))
+        limit = math.log(MAX_SPEED)
+        log_speed = min(max(math.log(speed), -limit), limit)
+        measured = _Measured(kind, log_speed, min(max(samples, 0), MAX_SAMPLES))
         self._totals_by_kind.setdefault(kind, _KindTotals()).add(measured, 1)
         self._measured_by_runner[runner_id] = measured
         position = -self._log_speed(measured) / CLASS_WIDTH
--- a/src/daisyfall/process/_placement_service.py
+++ b/src/daisyfall/process/_placement_service.py
@@ -1,5 +1,6 @@
 """Placement of tasks on runners, which the leader does for all entries."""
 
+import collections
 import random
 from collections.abc import Callable
 
@@ -7,7 +8,13 @@
 import loguru
 
 from daisyfall import _clock, _pool_wire
-from daisyfall.policy import _job_queue, _runner_capacity, _scheduler
+from daisyfall.policy import (
+    _departures,
+    _job_queue,
+    _runner_capacity,
+    _runner_health,
+    _scheduler,
+)
 
 Decision = _pool_wire.TasksPlaced | _pool_wire.PlacementRefused
 
@@ -18,9 +25,15 @@
     `deliver` gets the id of the entry that requested the placement, and the decision.
     """
 
-    def __init__(self, rng: random.Random, deliver: Callable[[str, Decision], None]):
-        self._scheduler = _scheduler.Scheduler(rng)
+    def __init__(
+        self,
+        rng: random.Random,
+        deliver: Callable[[str, Decision], None],
+        remote_factor: float = 1.0,
+    ):
+        self._scheduler = _scheduler.Scheduler(rng, remote_factor)
         self._deliver = deliver
+        self._logged_health_by_agent: dict[str, _runner_health.State] = {}
 
     @property
     def queued(self) -> int:
@@ -31,6 +44,18 @@
         """Return whether any runner accepts tasks."""
         return any(runner.is_open for runner in self._scheduler.runner_by_id.values())
 
+    def runner_counts(self) -> dict[str, int]:
+        """Return how many runners are ejected, return to work, are slow, or leave."""
+        runners = self._scheduler.runner_by_id.values()
+        states = collections.Counter(runner.health.state for runner in runners)
+        return {
+            "runners_ejected": states[_runner_health.State.EJECTED]
+            + states[_runner_health.State.PROBING],
+            "runners_returning": states[_runner_health.State.RETURNING],
+            "runners_slow": sum(runner.health.is_slow for runner in runners),
+            "runners_leaving": sum(runner.leaves_at != _departures.NEVER for runner in runners),
+        }
+
     def submit(self, batch: _job_queue.TaskBatch) -> None:
         """Place tasks or queue them for placement."""
         self._deliver_decisions(self._scheduler.submit(batch, _clock.monotonic()))
@@ -80,9 +105,15 @@
         now = _clock.monotonic()
         self._deliver_decisions(
             self._scheduler.record_task_end(
-                agent_id, message.task, message.job_id, message.outcome, now
+                agent_id,
+                message.task,
+                message.job_id,
+                message.outcome,
+                now,
+                slowdown=message.slowdown,
             )
         )
+        self._log_health(agent_id)
 
     def sync_allocations(self, agent_id: str, message: _pool_wire.AllocationReport) -> None:
         """Replace the known allocations on a runner by those that its agent reports."""
@@ -94,11 +125,25 @@
             for task, job_id, cpu, memory_mb, accelerators in message.allocations
         }
         self._scheduler.sync_allocations(agent_id, allocation_by_task, now)
-        self._scheduler.update_slowness(agent_id, message.slowness)
+        if message.speed > 0:
+            self._scheduler.update_speed(
+                agent_id,
+                message.slowness,
+                now,
+                speed=message.speed,
+                samples=message.samples,
+            )
+        self._log_health(agent_id)
         self.advance()
 
     def update_runner(self, agent_id: str, state: _pool_wire.RunnerState) -> None:
         """Update the capacity and availability of a runner as its agent reports them."""
+        now = _clock.monotonic()
+        leaves_at = _departures.NEVER
+        if state.remaining_ms:
+            leaves_at = now + state.remaining_ms / 1000
+            log = loguru.logger.bind(agent=agent_id, remaining_ms=state.remaining_ms)
+            log.info("runner leaves")
         runner = _runner_capacity.RunnerCapacity(
             agent_id,
             state.pool,
@@ -108,10 +153,23 @@
             tuple(state.labels),
             state.is_open,
             state.runner_id,
+            leaves_at=leaves_at,
         )
         self._scheduler.update_runner(runner)
         self.advance()
 
+    def _log_health(self, agent_id: str) -> None:
+        """Log a change of the health of a runner since it was last logged."""
+        runner = self._scheduler.runner_by_id.get(agent_id)
+        if runner is None:
+            return
+        previous = self._logged_health_by_agent.get(agent_id, _runner_health.State.HEALTHY)
+        health = runner.health
+        if health.state is not previous:
+            self._logged_health_by_agent[agent_id] = health.state
+            log = loguru.logger.bind(agent=agent_id, state=health.state.value)
+            log.bind(slowness=round(health.slowness, 1)).info("health of a runner changed")
+
     def _deliver_decisions(
         self, decisions: list[_scheduler.Placement | _scheduler.Refusal]
     ) -> None:
--- a/src/daisyfall/process/_pool_agent.py
+++ b/src/daisyfall/process/_pool_agent.py
@@ -8,6 +8,7 @@
 
 from daisyfall import _clock, _pool_wire
 from daisyfall.connection import _link, _message_age
+from daisyfall.policy import _departures
 from daisyfall.process import (
     _leased_runner,
     _lifecycle,
@@ -18,7 +19,7 @@
     _runner_session,
     _ticker,
 )
-from daisyfall.request import _runs
+from daisyfall.request import _run
 
 # Short enough for the pause detector.
 TICK_S = 0.1
@@ -56,10 +57,17 @@
         self.metrics = metrics
         self._session_by_entry: dict[str, EntrySession] = {}
         self._runner = _runner_session.RunnerSession(
-            settings.bounds, settings.heartbeat_s, settings.started_ms, connect_runner, metrics
+            settings.bounds,
+            settings.heartbeat_s,
+            settings.started_ms,
+            connect_runner,
+            metrics,
+            remote_factor=settings.remote_factor,
         )
         self._runs = self._runner.runs
-        self._sent_state: _pool_wire.RunnerState | None = None
+        # The last state that was sent, and the departure of the runner in it.
+        self._sent_state: tuple[_pool_wire.RunnerState, float] | None = None
+        self._was_slow = False
         self._crashes: collections.deque[tuple[float, _pool_wire.RunnerCrashed]] = (
             collections.deque(maxlen=MAX_REPORTED_CRASHES)
         )
@@ -67,7 +75,7 @@
         self._lifecycle = _lifecycle.Lifecycle(self._send_changed_state)
         self._runner.set_callbacks(
             self._report_ends,
-            self._send_changed_state,
+            self._report_changes,
             self._pause_detector.check,
             self._report_crash,
         )
@@ -101,12 +109,12 @@
 
     async def _drain(self) -> None:
         self._lifecycle.drain()
-        self._report_ends(self._runs.reject_queued(_runs.DRAINING))
+        self._report_ends(self._runs.reject_queued(_run.DRAINING))
         deadline = _clock.monotonic() + self.settings.max_drain_s
         while self._runs.run_by_task and _clock.monotonic() < deadline:
             await asyncio.sleep(TICK_S)
         for run in self._runs.run_by_task.values():
-            run.stop_reason = run.stop_reason or _runs.DRAINING
+            run.stop_reason = run.stop_reason or _run.DRAINING
         await asyncio.sleep(2 * self.settings.bounds.stop_timeout_s)
         self._lifecycle.finish_draining()
 
@@ -117,7 +125,7 @@
         self._report_ends(self._runs.pop_expired(now))
         self._runner.send_stops(now)
         self._report_allocations(now)
-        self._send_changed_state()
+        self._report_changes()
         self._runner.start_queued()
 
     def _drop_all_sessions(self, _pause_s: float) -> None:
@@ -169,7 +177,7 @@
             self._send_end(session, ended)
         self._update_timing(session, has_tasks=bool(present))
         link.send(_pool_wire.Resumed(present))
-        link.send(self._state())
+        link.send(self._state(now))
         loguru.logger.bind(entry=entry, tasks=len(present)).info("entry connected")
         return session
 
@@ -223,9 +231,9 @@
         reason = self._unavailable_reason(now)
         if session.age.measure_s(order.sent_ms, now) > self.settings.bounds.heartbeat_timeout_s:
             # Its entry was paused or cut off meanwhile, and the caller may have sent the job again.
-            reason = _runs.DELAYED
+            reason = _run.DELAYED
         if reason:
-            self._report_ends([_runs.RunEnd(order, session.entry, reason, 0.0)])
+            self._report_ends([_run.RunEnd(order, session.entry, reason, 0.0)])
             return
         refused = self._runs.accept(order, session.entry, now)
         if refused is not None:
@@ -240,7 +248,7 @@
             self._runner.send_stops(_clock.monotonic())
         self._runner.start_queued()
 
-    def _report_ends(self, ends: list[_runs.RunEnd]) -> None:
+    def _report_ends(self, ends: list[_run.RunEnd]) -> None:
         for ended in ends:
             loguru.logger.bind(
                 task=ended.order.task,
@@ -255,7 +263,9 @@
             if session is not None:
                 self._send_end(session, ended)
             order = ended.order
-            released = _pool_wire.AllocationReleased(order.task, order.job_id, ended.how)
+            released = _pool_wire.AllocationReleased(
+                order.task, order.job_id, ended.how, ended.slowdown
+            )
             for open_session in self._session_by_entry.values():
                 if open_session.is_scheduling:
                     open_session.link.send(released)
@@ -273,9 +283,12 @@
         if session.link.peer.revision >= _pool_wire.CRASH_REPORTS_REVISION:
             session.link.send(crash)
 
-    def _send_end(self, session: EntrySession, ended: _runs.RunEnd) -> None:
+    def _send_end(self, session: EntrySession, ended: _run.RunEnd) -> None:
         order = ended.order
-        session.link.send(_pool_wire.TaskEnded(order.task, order.run, ended.how, ended.run_ms))
+        message = _pool_wire.TaskEnded(
+            order.task, order.run, ended.how, ended.run_ms, ended.remote_factor
+        )
+        session.link.send(message)
 
     def _report_allocations(self, now: float) -> None:
         report = None
@@ -283,7 +296,10 @@
             if session.is_scheduling and now - session.reported_at >= ALLOCATION_REPORT_INTERVAL_S:
                 if report is None:
                     report = _pool_wire.AllocationReport(
-                        self._runs.allocations(), self._runs.slowness(now)
+                        self._runs.allocations(),
+                        self._runs.slowness(now),
+                        self._runs.speed.speed,
+                        self._runs.speed.samples,
                     )
                 session.reported_at = now
                 session.link.send(report)
@@ -301,10 +317,10 @@
     def _unavailable_reason(self, now: float) -> str:
         """Return the reason for which no task is accepted, `""` if tasks are accepted."""
         if not self._lifecycle.accepts_work:
-            return _runs.DRAINING
+            return _run.DRAINING
         return self._runner.unavailable_reason(now)
 
-    def _state(self) -> _pool_wire.RunnerState:
+    def _state(self, now: float) -> _pool_wire.RunnerState:
         heartbeat = self._runner.heartbeat
         if heartbeat is None:
             return _pool_wire.RunnerState("", "", 0, 0, 0, [], False)
@@ -315,12 +331,31 @@
             heartbeat.memory_mb,
             heartbeat.accelerators,
             list(heartbeat.labels),
-            not self._unavailable_reason(_clock.monotonic()),
+            not self._unavailable_reason(now),
+            _departures.remaining_ms(self._runs.leaves_at, now),
         )
 
+    def _report_changes(self) -> None:
+        """Send the state of the runner if it has changed; report at once when it turns slow."""
+        self._send_changed_state()
+        now = _clock.monotonic()
+        is_slow = self._runs.is_slow(now)
+        if is_slow == self._was_slow:
+            return
+        self._was_slow = is_slow
+        log = loguru.logger.bind(slowness=round(self._runs.slowness(now), 1))
+        log.info("runner is slow" if is_slow else "runner is no longer slow")
+        if is_slow:
+            for session in self._session_by_entry.values():
+                session.reported_at = 0.0
+            self._report_allocations(now)
+
     def _send_changed_state(self) -> None:
-        state = self._state()
-        if state != self._sent_state:
-            self._sent_state = state
+        now = _clock.monotonic()
+        state, leaves_at = self._state(now), self._runs.leaves_at
+        # The remaining time counts down by itself.
+        lasting = (attrs.evolve(state, remaining_ms=0), leaves_at)
+        if lasting != self._sent_state:
+            self._sent_state = lasting
             for session in self._session_by_entry.values():
                 session.link.send(state)
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -47,7 +47,9 @@
         self.peers = _pool_peers.PoolPeers(settings.id, self)
         self.shared = _shared_state.SharedState(self.peers, decode_configuration, metrics)
         self._jobs = _pool_job_manager.PoolJobManager(settings.id, settings.bounds, metrics)
-        self._placement = _placement_service.PlacementService(rng, self._deliver)
+        self._placement = _placement_service.PlacementService(
+            rng, self._deliver, settings.remote_factor
+        )
         self._leadership = _leadership.Leadership(
             settings.id, settings.cores, settings.started_ms, _clock.monotonic()
         )
@@ -151,6 +153,7 @@
             queued=self._placement.queued,
             links=len(self.peers.link_by_id),
             configuration_version=self.shared.version,
+            **self._placement.runner_counts(),
         )
 
     def _reset_links(self, _pause_s: float) -> None:
--- a/src/daisyfall/process/_pool_settings.py
+++ b/src/daisyfall/process/_pool_settings.py
@@ -11,7 +11,8 @@
     """Settings that entries and agents share; times in seconds.
 
     `cores` is the CPU time that the process may use, in cores; `started_ms` is its start in Unix
-    time; `max_drain_s` is the longest time that a graceful stop may take.
+    time; `max_drain_s` is the longest time that a graceful stop may take. A task takes
+    `remote_factor` times as long away from its preferred rack; 1.0 if that isn't known.
     """
 
     id: str
@@ -23,6 +24,7 @@
     started_ms: int
     bounds: _bounds.Bounds
     max_drain_s: float
+    remote_factor: float = 1.0
 
     def handshake(self, role: str, tasks: list[str]) -> _pool_wire.Handshake:
         """Return the first message of a link."""
--- a/src/daisyfall/process/_runner_session.py
+++ b/src/daisyfall/process/_runner_session.py
@@ -8,9 +8,9 @@
 import loguru
 
 from daisyfall import _clock
-from daisyfall.policy import _bounds
+from daisyfall.policy import _bounds, _departures
 from daisyfall.process import _call_health, _leased_runner, _pool_metrics
-from daisyfall.request import _runs
+from daisyfall.request import _run, _runs
 
 # A lease renewal is a long poll: the runner answers when a run ends, at the latest after this
 # time. A lease lasts for several renewals.
@@ -48,8 +48,10 @@
         token: int,
         connect: ConnectRunner,
         metrics: _pool_metrics.PoolMetrics,
+        *,
+        remote_factor: float = 1.0,
     ):
-        self.runs = _runs.Runs(bounds)
+        self.runs = _runs.Runs(bounds, remote_factor)
         self.heartbeat: _leased_runner.RunnerHeartbeat | None = None
         self._bounds = bounds
         self._heartbeat_s = heartbeat_s
@@ -73,7 +75,7 @@
 
     def set_callbacks(
         self,
-        on_runs_ended: Callable[[list[_runs.RunEnd]], None],
+        on_runs_ended: Callable[[list[_run.RunEnd]], None],
         on_availability_changed: Callable[[], None],
         check_pause: Callable[[], None],
         on_crashed: Callable[[str, list[list]], None],
@@ -93,12 +95,12 @@
     def unavailable_reason(self, now: float) -> str:
         """Return the reason why the runner gets no tasks, `""` if it is available."""
         if self.heartbeat is None or self._runner is None or not self._is_connected:
-            return _runs.NO_RUNNER
+            return _run.NO_RUNNER
         if self.heartbeat.is_draining:
-            return _runs.DRAINING
+            return _run.DRAINING
         if now - self._heartbeat_at > MAX_MISSED_HEARTBEATS * self._heartbeat_s:
-            return _runs.NO_RUNNER
-        return _runs.UNHEALTHY if self._health.is_paused(now) else ""
+            return _run.NO_RUNNER
+        return _run.UNHEALTHY if self._health.is_paused(now) else ""
 
     def handle_heartbeat(self, heartbeat: _leased_runner.RunnerHeartbeat) -> None:
         """Apply a heartbeat of the runner; one that is older than the last is ignored."""
@@ -118,9 +120,17 @@
         self.heartbeat = heartbeat
         self._heartbeat_at = _clock.monotonic()
         self.runs.capacity = (heartbeat.cpu, heartbeat.memory_mb, heartbeat.accelerators)
+        self.runs.labels = heartbeat.labels
+        self.runs.leaves_at = _departures.leaves_at(
+            self.runs.leaves_at,
+            heartbeat.remaining_ms,
+            self._heartbeat_at,
+            is_draining=heartbeat.is_draining,
+        )
         if heartbeat.is_draining and (previous is None or not previous.is_draining):
-            loguru.logger.bind(runner=heartbeat.id).info("runner is draining")
-            self._on_runs_ended(self.runs.reject_queued(_runs.DRAINING))
+            log = loguru.logger.bind(runner=heartbeat.id, remaining_ms=heartbeat.remaining_ms)
+            log.info("runner is draining")
+            self._on_runs_ended(self.runs.reject_queued(_run.DRAINING))
         self._on_availability_changed()
 
     def handle_deregistration(self, runner_id: str) -> None:
@@ -143,20 +153,20 @@
         self._runner = None
         now = _clock.monotonic()
         self._lost_runs = []
-        self._on_runs_ended(self.runs.clear(_runs.LOST, now))
-        self._on_runs_ended(self.runs.reject_queued(_runs.LOST))
+        self._on_runs_ended(self.runs.clear(_run.LOST, now))
+        self._on_runs_ended(self.runs.reject_queued(_run.LOST))
 
     def _handle_crash(self) -> None:
         """End all runs of a runner that is gone, and report them as crashed unless it has left."""
         now = _clock.monotonic()
         if self.heartbeat.is_draining:
-            self._on_runs_ended(self.runs.lose_runner(_runs.LOST, now))
+            self._on_runs_ended(self.runs.lose_runner(_run.LOST, now))
             return
         runs = self._lost_runs + self.runs.crashed_runs(now)
         self._lost_runs = []
         if runs:
             self._on_crashed(f"{self.heartbeat.id}/{self.heartbeat.born_ms}", runs)
-        self._on_runs_ended(self.runs.lose_runner(_runs.CRASHED, now))
+        self._on_runs_ended(self.runs.lose_runner(_run.CRASHED, now))
 
     def start_queued(self) -> None:
         """Send start orders for the queued tasks that fit into the free capacity."""
@@ -174,7 +184,7 @@
         """Return an estimate of the runner's clock that is never ahead of it."""
         return int(_clock.monotonic() * 1000 + self._clock_offset_ms)
 
-    async def _start_run(self, runner: _leased_runner.LeasedRunner, run: _runs.Run) -> None:
+    async def _start_run(self, runner: _leased_runner.LeasedRunner, run: _run.Run) -> None:
         order = run.order
         sent_at = _clock.monotonic()
         lease_until_ms = self._runner_clock_ms() + START_LEASE_MS
@@ -209,7 +219,7 @@
         self.send_stops(now)
 
     async def _resolve_unanswered_start(
-        self, runner: _leased_runner.LeasedRunner, run: _runs.Run
+        self, runner: _leased_runner.LeasedRunner, run: _run.Run
     ) -> None:
         """Determine without delay whether an unanswered start order was executed.
 
@@ -243,7 +253,7 @@
                 if self._health.record_unanswered(now):
                     self._on_availability_changed()
 
-    def _end_run(self, run: _runs.Run, outcome: str, now: float) -> None:
+    def _end_run(self, run: _run.Run, outcome: str, now: float) -> None:
         ended = self.runs.finish(run, outcome, now)
         if ended is not None:
             self._on_runs_ended([ended])
@@ -254,7 +264,7 @@
             for run in self.runs.due_stops(now):
                 self._spawn(self._stop_run(self._runner, run))
 
-    async def _stop_run(self, runner: _leased_runner.LeasedRunner, run: _runs.Run) -> None:
+    async def _stop_run(self, runner: _leased_runner.LeasedRunner, run: _run.Run) -> None:
         is_confirmed = await runner.stop(run.task, run.number, self._token, self._health.timeout_s)
         if is_confirmed:
             self.runs.stop_confirmed(run, _clock.monotonic())
@@ -318,7 +328,7 @@
             self._is_connected = True
             loguru.logger.bind(running=len(snapshot.running)).info("runner answers")
         self._on_runs_ended(self.runs.apply_snapshot(snapshot, requested_at, now))
-        self.runs.mark_stragglers(now)
+        self.runs.mark_rescheduled(now)
         for orphan in self.runs.orphans(snapshot):
             self._unknown_runs_until = now + self._bounds.max_stopping_s
             loguru.logger.bind(task=orphan.task, run=orphan.run).warning("stopping an unknown run")
@@ -374,7 +384,7 @@
             else:
                 # A silent runner may be cut off only.
                 self._lost_runs += self.runs.crashed_runs(now)
-                self._on_runs_ended(self.runs.lose_runner(_runs.LOST, now))
+                self._on_runs_ended(self.runs.lose_runner(_run.LOST, now))
         await asyncio.sleep(RENEWAL_RETRY_S)
 
     def _spawn(self, coroutine) -> None:
--- a/src/daisyfall/request/_pool_job_manager.py
+++ b/src/daisyfall/request/_pool_job_manager.py
@@ -26,6 +26,8 @@
 CRASHES_RUNNERS = "crashes_runners"
 # Reasons for which the same agent may be tried again, as they don't indicate a faulty runner.
 SAME_AGENT_RETRY_REASONS = frozenset({"no_room", "old_run", "late", "fenced", "delayed"})
+# Reasons for which an agent ends a task so that it runs elsewhere, at most once a task.
+RESCHEDULE_REASONS = frozenset({"straggling", "leaving"})
 
 
 class PoolJobManager:
@@ -134,7 +136,8 @@
             return
         match message.outcome:
             case "done":
-                self._handle_task_done(job, task, message.run_ms)
+                run_ms = message.run_ms / max(message.remote_factor, 1.0)
+                self._handle_task_done(job, task, run_ms)
             case "failed":
                 self._handle_task_failed(job, task)
             case _:
@@ -351,7 +354,7 @@
         log.info("task is placed again")
         if reason == "old_run":
             task.run += _pool_jobs.OLD_RUN_STEP
-        task.was_rescheduled |= reason == "straggling"
+        task.was_rescheduled |= reason in RESCHEDULE_REASONS
         job.requeue(task, avoids_agent=reason not in SAME_AGENT_RETRY_REASONS)
         if job.can_meet_deadline(now):
             self._request_placement(job, [task])
--- a/src/daisyfall/request/_pool_jobs.py
+++ b/src/daisyfall/request/_pool_jobs.py
@@ -87,7 +87,7 @@
 
     `failures` counts failed runs. `run` is the number of the run that was dispatched last,
     `agent_incarnation` the incarnation of the agent it went to in `pool`. `request_id` is the last
-    placement request; `was_rescheduled` is set once an agent ended the task as a straggler.
+    placement request; `was_rescheduled` is set once an agent ended the task for a run elsewhere.
     """
 
     name: str
@@ -227,6 +227,8 @@
             not task.was_rescheduled,
             sent_ms,
             self.submission.route.name,
+            step.preferred_rack,
+            max(0, round(self.latest_start * 1000) - sent_ms),
         )
 
     def requeue(self, task: Task, *, avoids_agent: bool) -> None:
--- a/src/daisyfall/request/_runs.py
+++ b/src/daisyfall/request/_runs.py
@@ -6,13 +6,18 @@
 """
 
 import collections
-import enum
-
-import attrs
 
 from daisyfall import _pool_wire
-from daisyfall.policy import _bounds, _runner_capacity, _stragglers
+from daisyfall.policy import (
+    _bounds,
+    _departures,
+    _runner_capacity,
+    _runner_health,
+    _runner_speed,
+    _stragglers,
+)
 from daisyfall.process import _leased_runner
+from daisyfall.request import _run
 
 # An entry that reconnects within this time is sent the ends of its runs again.
 END_RETENTION_S = 5.0
@@ -26,90 +31,23 @@
 MIN_STALL_S = 0.35
 
 
-class Phase(enum.Enum):
-    """State of a run that may use capacity; `UNANSWERED`: its start order was not answered."""
-
-    STARTING = "starting"
-    RUNNING = "running"
-    UNANSWERED = "unanswered"
-    STOPPING = "stopping"
-
-
-@attrs.define(slots=True, eq=False)
-class Run:
-    """One run; `entry` is the id and incarnation of the entry that ordered it.
-
-    `missing_since` is when the runner was first asked for lists that lacked the run, 0 if it is
-    listed. A `stop_reason` marks the run for stopping.
-    """
-
-    order: _pool_wire.RunTask
-    entry: str
-    number: int
-    phase: Phase
-    ordered_at: float
-    lease_until: float = 0.0
-    started_at: float = 0.0
-    progress: _stragglers.TaskProgress | None = None
-    progressed_at: float = 0.0
-    missing_since: float = 0.0
-    stop_reason: str = ""
-    stop_since: float = 0.0
-    stop_sent_at: float = 0.0
-
-    @property
-    def task(self) -> str:
-        """Return the task's name."""
-        return self.order.task
-
-
-@attrs.define(slots=True, eq=False)
-class QueuedOrder:
-    """A start order that waits for capacity until `expires_at`."""
-
-    order: _pool_wire.RunTask
-    entry: str
-    expires_at: float
-
-
-@attrs.frozen
-class RunEnd:
-    """The end of a run, to be reported to its entry.
-
-    `how` is an outcome that the runner listed, or one of the agent's reasons below.
-    """
-
-    order: _pool_wire.RunTask
-    entry: str
-    how: str
-    run_ms: float
-
-
-# The agent's reasons for the end of a run or the refusal of an order.
-NO_RUNNER = "no_runner"
-NO_ROOM = "no_room"
-DELAYED = "delayed"  # the order was held up on its way
-DRAINING = "draining"
-UNHEALTHY = "unhealthy"
-UNANSWERED = "unanswered"
-STALLED = "stalled"
-STRAGGLING = "straggling"
-LOST = "lost"
-CRASHED = "crashed"  # the runner crashed, or was replaced without leaving
-CANCELLED = "cancelled"
-
-
 class Runs:
     """All runs and queued orders at one incarnation of a runner.
 
-    `acknowledged` is the number of the last end that was taken from the runner's list.
+    `acknowledged` is the number of the last end that was taken from the runner's list. `labels` are
+    those of the runner, and `leaves_at` is when it goes. A task takes `remote_factor` times as
+    long away from its preferred rack.
     """
 
-    def __init__(self, bounds: _bounds.Bounds) -> None:
+    def __init__(self, bounds: _bounds.Bounds, remote_factor: float = 1.0) -> None:
         self._bounds = bounds
-        self.run_by_task: dict[str, Run] = {}
-        self._queue: list[QueuedOrder] = []
-        self._ends: collections.deque[tuple[float, RunEnd]] = collections.deque(
+        self._remote_factor = remote_factor
+        self.labels: tuple[str, ...] = ()
+        self.leaves_at = _departures.NEVER
+        self.speed = _runner_speed.SpeedMeter()
+        self.run_by_task: dict[str, _run.Run] = {}
+        self._queue: list[_run.QueuedOrder] = []
+        self._ends: collections.deque[tuple[float, _run.RunEnd]] = collections.deque(
             maxlen=MAX_REMEMBERED_ENDS
         )
         self.acknowledged = 0
@@ -132,7 +70,7 @@
         entries.update(run.entry for run in self.run_by_task.values() if not run.stop_reason)
         return entries
 
-    def accept(self, order: _pool_wire.RunTask, entry: str, now: float) -> RunEnd | None:
+    def accept(self, order: _pool_wire.RunTask, entry: str, now: float) -> _run.RunEnd | None:
         """Queue a start order; return the refusal if the queue is full or the task can't fit."""
         known = self.run_by_task.get(order.task)
         if known is not None and known.entry == entry and known.order.run == order.run:
@@ -141,68 +79,68 @@
             return None
         is_full = len(self._queue) >= MAX_QUEUED_ORDERS
         if is_full or not _runner_capacity.has_room(self.capacity, order):
-            return RunEnd(order, entry, NO_ROOM, 0.0)
+            return _run.RunEnd(order, entry, _run.NO_ROOM, 0.0)
         if known is not None:
-            known.stop_reason = known.stop_reason or CANCELLED
-        self._queue.append(QueuedOrder(order, entry, now + order.queue_timeout_ms / 1000))
+            known.stop_reason = known.stop_reason or _run.CANCELLED
+        self._queue.append(_run.QueuedOrder(order, entry, now + order.queue_timeout_ms / 1000))
         return None
 
-    def pop_startable(self, now: float) -> list[Run]:
+    def pop_startable(self, now: float) -> list[_run.Run]:
         """Remove the queued orders that fit now, and return them as runs that use capacity."""
         started = []
         for queued in list(self._queue):
             if queued.order.task in self.run_by_task or not self._fits(queued.order):
                 continue
             self._queue.remove(queued)
-            run = Run(queued.order, queued.entry, queued.order.run, Phase.STARTING, now)
+            run = _run.Run(queued.order, queued.entry, queued.order.run, _run.Phase.STARTING, now)
+            rack = run.order.preferred_rack
+            if rack and rack not in self.labels:
+                run.remote_factor = self._remote_factor
             self.run_by_task[run.task] = run
             started.append(run)
         return started
 
-    def pop_expired(self, now: float) -> list[RunEnd]:
+    def pop_expired(self, now: float) -> list[_run.RunEnd]:
         """Remove the orders that waited too long, and return their refusals."""
         expired = [queued for queued in self._queue if now > queued.expires_at]
         self._queue = [queued for queued in self._queue if now <= queued.expires_at]
-        return [RunEnd(queued.order, queued.entry, NO_ROOM, 0.0) for queued in expired]
+        return [_run.RunEnd(queued.order, queued.entry, _run.NO_ROOM, 0.0) for queued in expired]
 
-    def reject_queued(self, how: str) -> list[RunEnd]:
+    def reject_queued(self, how: str) -> list[_run.RunEnd]:
         """Remove all queued orders, and return their refusals."""
         queue, self._queue = self._queue, []
-        return [RunEnd(queued.order, queued.entry, how, 0.0) for queued in queue]
+        return [_run.RunEnd(queued.order, queued.entry, how, 0.0) for queued in queue]
 
-    def started(self, run: Run, now: float) -> None:
+    def started(self, run: _run.Run, now: float) -> None:
         """Record that the runner has confirmed a start."""
-        if run.phase in (Phase.STARTING, Phase.UNANSWERED):
-            run.phase = Phase.RUNNING
+        if run.phase in (_run.Phase.STARTING, _run.Phase.UNANSWERED):
+            run.phase = _run.Phase.RUNNING
             run.started_at = run.progressed_at = now
-            run.progress = _stragglers.TaskProgress(run.order.expected_ms, now)
+            run.progress = _stragglers.TaskProgress(run.expected_ms, now)
 
-    def unanswered(self, run: Run, lease_until: float) -> None:
+    def unanswered(self, run: _run.Run, lease_until: float) -> None:
         """Record an unanswered start order; it may take effect until its lease expires."""
-        if run.phase is Phase.STARTING:
-            run.phase = Phase.UNANSWERED
+        if run.phase is _run.Phase.STARTING:
+            run.phase = _run.Phase.UNANSWERED
             run.lease_until = lease_until
-            run.stop_reason = run.stop_reason or UNANSWERED
+            run.stop_reason = run.stop_reason or _run.UNANSWERED
 
-    def finish(self, run: Run, how: str, now: float) -> RunEnd | None:
+    def finish(self, run: _run.Run, how: str, now: float) -> _run.RunEnd | None:
         """Remove a run and return its end; None if it was removed before."""
         if self.run_by_task.get(run.task) is not run:
             return None
         del self.run_by_task[run.task]
         run_ms = (now - run.started_at) * 1000 if run.started_at else 0.0
-        is_runner_outcome = how in (
-            _leased_runner.RunOutcome.DONE.value,
-            _leased_runner.RunOutcome.FAILED.value,
-        )
-        ended = RunEnd(
-            run.order, run.entry, how if is_runner_outcome else run.stop_reason or how, run_ms
-        )
+        is_runner_outcome = how in (_run.DONE, _leased_runner.RunOutcome.FAILED.value)
+        outcome = how if is_runner_outcome else run.stop_reason or how
+        ended = _run.RunEnd(run.order, run.entry, outcome, run_ms, run.remote_factor)
         self._ends.append((now, ended))
-        if how == _leased_runner.RunOutcome.DONE.value and run.order.expected_ms > 0:
-            self._slowdown.add_ended(run_ms / run.order.expected_ms, now)
+        if ended.slowdown:
+            self._slowdown.add_ended(ended.slowdown, now)
+            self.speed.add(ended.slowdown)
         return ended
 
-    def stop(self, task: str, entry: str, number: int, stop_reason: str) -> Run | None:
+    def stop(self, task: str, entry: str, number: int, stop_reason: str) -> _run.Run | None:
         """Remove an order from the queue, or mark its run for stopping and return it."""
         for queued in list(self._queue):
             is_meant = queued.order.task == task and queued.entry == entry
@@ -214,36 +152,38 @@
         run.stop_reason = run.stop_reason or stop_reason
         return run
 
-    def lose_entry(self, entry: str) -> list[Run]:
+    def lose_entry(self, entry: str) -> list[_run.Run]:
         """Remove an entry's orders from the queue; mark its runs for stopping and return them."""
         self._queue = [queued for queued in self._queue if queued.entry != entry]
         runs = [run for run in self.run_by_task.values() if run.entry == entry]
         for run in runs:
-            run.stop_reason = run.stop_reason or CANCELLED
+            run.stop_reason = run.stop_reason or _run.CANCELLED
         return runs
 
-    def due_stops(self, now: float) -> list[Run]:
+    def due_stops(self, now: float) -> list[_run.Run]:
         """Return the runs for which a stop order has to be sent, for the first time or again."""
         due = [
             run
             for run in self.run_by_task.values()
             if run.stop_reason
-            and run.phase is not Phase.STARTING
+            and run.phase is not _run.Phase.STARTING
             and now - run.stop_sent_at >= self._bounds.stop_timeout_s
         ]
         for run in due:
             run.stop_sent_at = now
             run.stop_since = run.stop_since or now
-            if run.phase is Phase.RUNNING:
-                run.phase = Phase.STOPPING
+            if run.phase is _run.Phase.RUNNING:
+                run.phase = _run.Phase.STOPPING
         return due
 
-    def stop_confirmed(self, run: Run, now: float) -> None:
+    def stop_confirmed(self, run: _run.Run, now: float) -> None:
         """Record that the runner has confirmed a stop; it now rejects an unanswered start order."""
-        if run.phase is Phase.UNANSWERED:
+        if run.phase is _run.Phase.UNANSWERED:
             run.lease_until = min(run.lease_until, now)
 
-    def resumed(self, entry: str, tasks: list[str], now: float) -> tuple[list[str], list[RunEnd]]:
+    def resumed(
+        self, entry: str, tasks: list[str], now: float
+    ) -> tuple[list[str], list[_run.RunEnd]]:
         """Reconcile with the tasks of an entry that reconnected; cancel runs that it doesn't list.
 
         Return the tasks that run or wait here, and the ends that the entry may have missed.
@@ -251,7 +191,7 @@
         wanted = set(tasks)
         for run in self.run_by_task.values():
             if run.entry == entry and run.task not in wanted:
-                run.stop_reason = run.stop_reason or CANCELLED
+                run.stop_reason = run.stop_reason or _run.CANCELLED
         present = [run.task for run in self.run_by_task.values() if run.entry == entry]
         present += [queued.order.task for queued in self._queue if queued.entry == entry]
         ends = [
@@ -263,7 +203,7 @@
 
     def apply_snapshot(
         self, snapshot: _leased_runner.RunSnapshot, asked_at: float, now: float
-    ) -> list[RunEnd]:
+    ) -> list[_run.RunEnd]:
         """Update the runs by the runner's lists, requested at `asked_at`; return the new ends."""
         ends = self._apply_ended(snapshot, now)
         progress_by_task = {progress.task: progress for progress in snapshot.running}
@@ -271,8 +211,8 @@
             run_progress = progress_by_task.get(run.task)
             if run_progress is not None and run_progress.run == run.number:
                 self.started(run, now)
-                self._apply_progress(run, run_progress, now)
-            elif run.phase is not Phase.STARTING and run.started_at < asked_at:
+                self._apply_progress(run, run_progress, now, snapshot.clock_ms / 1000 or now)
+            elif run.phase is not _run.Phase.STARTING and run.started_at < asked_at:
                 ends += self._record_missing(run, asked_at, now)
         return [end for end in ends if end is not None]
 
@@ -286,39 +226,53 @@
         ]
 
     def slowness(self, now: float) -> float:
-        """Return the median slowdown of the runner's tasks, 0 with too few samples."""
-        running = [run.progress for run in self.run_by_task.values() if run.phase is Phase.RUNNING]
-        return self._slowdown.median(running, now)
-
-    def mark_stragglers(self, now: float) -> None:
-        """Mark the stragglers on a slow runner for stopping, so that they are rescheduled."""
-        if self.slowness(now) < _stragglers.SLOW_RUNNER_SLOWDOWN:
-            return
+        """Return the present median slowdown of the runner's tasks, 0 if unknown."""
+        return _stragglers.median(self._slowdowns(now))
+
+    def is_slow(self, now: float) -> bool:
+        """Return whether the runner's tasks take far longer than expected at present."""
+        return self.slowness(now) >= _runner_health.SLOW_RUNNER_SLOWNESS
+
+    def mark_rescheduled(self, now: float) -> None:
+        """Mark the runs for stopping that are to be placed elsewhere.
+
+        These are the stragglers on a slow runner, and what can't end before the runner leaves.
+        """
+        has_samples = len(self._slowdowns(now)) >= _stragglers.MIN_SAMPLES
+        is_slow = has_samples and self.is_slow(now)
         for run in self.run_by_task.values():
-            if (
-                run.phase is Phase.RUNNING
-                and not run.stop_reason
-                and run.order.may_reschedule
-                and run.progress.should_reschedule()
-            ):
-                run.stop_reason = STRAGGLING
+            if is_slow and run.may_move and run.progress.should_reschedule():
+                run.stop_reason = _run.STRAGGLING
+            elif self.leaves_at != _departures.NEVER and run.may_move and run.progress.slowdown:
+                ends_at = now + run.progress.remaining_ms / 1000
+                latest_start = run.ordered_at + run.order.latest_start_ms / 1000
+                if _departures.must_move(ends_at, self.leaves_at, latest_start, now):
+                    run.stop_reason = _run.LEAVING
+
+    def _slowdowns(self, now: float) -> list[float]:
+        running = [
+            run.progress for run in self.run_by_task.values() if run.phase is _run.Phase.RUNNING
+        ]
+        return self._slowdown.samples(running, now)
 
     def must_withhold_lease(self, now: float) -> bool:
         """Return whether the lease may not be renewed, as a stop was not confirmed in time."""
         return any(
-            run.stop_reason == CANCELLED
+            run.stop_reason == _run.CANCELLED
             and run.stop_since > 0
             and now - run.stop_since > self._bounds.stop_timeout_s
             for run in self.run_by_task.values()
         )
 
-    def clear(self, how: str, now: float) -> list[RunEnd]:
+    def clear(self, how: str, now: float) -> list[_run.RunEnd]:
         """End all runs because the runner's incarnation has ended; its end numbers start anew."""
         ends = [self.finish(run, how, now) for run in list(self.run_by_task.values())]
         self.acknowledged = 0
+        self.leaves_at = _departures.NEVER
+        self.speed = _runner_speed.SpeedMeter()
         return [end for end in ends if end is not None]
 
-    def lose_runner(self, how: str, now: float) -> list[RunEnd]:
+    def lose_runner(self, how: str, now: float) -> list[_run.RunEnd]:
         """End all runs but starting ones, because the runner crashed or their leases expired.
 
         The runner's end numbers continue if it answers again.
@@ -326,7 +280,7 @@
         ends = [
             self.finish(run, how, now)
             for run in list(self.run_by_task.values())
-            if run.phase is not Phase.STARTING
+            if run.phase is not _run.Phase.STARTING
         ]
         return [end for end in ends if end is not None]
 
@@ -347,7 +301,9 @@
             for order in orders
         ]
 
-    def _apply_ended(self, snapshot: _leased_runner.RunSnapshot, now: float) -> list[RunEnd | None]:
+    def _apply_ended(
+        self, snapshot: _leased_runner.RunSnapshot, now: float
+    ) -> list[_run.RunEnd | None]:
         ends = []
         for listed_end in snapshot.ended:
             if listed_end.number <= self.acknowledged:
@@ -359,17 +315,27 @@
         return ends
 
     def _apply_progress(
-        self, run: Run, run_progress: _leased_runner.RunProgress, now: float
+        self,
+        run: _run.Run,
+        run_progress: _leased_runner.RunProgress,
+        now: float,
+        runner_clock: float,
     ) -> None:
         run.missing_since = 0.0
         if run_progress.percent != run.progress.percent:
             run.progressed_at = now
-        run.progress.update(run_progress.percent, now)
-        limit_s = max(MIN_STALL_S, STALL_FRACTION * run.order.expected_ms / 1000)
-        if run.phase is Phase.RUNNING and not run.stop_reason and now - run.progressed_at > limit_s:
-            run.stop_reason = STALLED
-
-    def _record_missing(self, run: Run, asked_at: float, now: float) -> list[RunEnd | None]:
+        run.progress.update(run_progress.percent, now, runner_clock)
+        limit_s = max(MIN_STALL_S, STALL_FRACTION * run.expected_ms / 1000)
+        if (
+            run.phase is _run.Phase.RUNNING
+            and not run.stop_reason
+            and now - run.progressed_at > limit_s
+        ):
+            run.stop_reason = _run.STALLED
+
+    def _record_missing(
+        self, run: _run.Run, asked_at: float, now: float
+    ) -> list[_run.RunEnd | None]:
         """Record that a run is not listed; return its end if it can't be stopping any more.
 
         A run that is being stopped is in neither of the runner's lists until it has ended.
@@ -377,9 +343,9 @@
         run.missing_since = run.missing_since or asked_at
         if asked_at - run.missing_since <= self._bounds.max_stopping_s:
             return []
-        if run.phase is not Phase.UNANSWERED:
-            return [self.finish(run, LOST, now)]
-        return [self.finish(run, UNANSWERED, now)] if asked_at > run.lease_until else []
+        if run.phase is not _run.Phase.UNANSWERED:
+            return [self.finish(run, _run.LOST, now)]
+        return [self.finish(run, _run.UNANSWERED, now)] if asked_at > run.lease_until else []
 
     def _fits(self, order: _pool_wire.RunTask) -> bool:
         cpu, memory_mb, accelerators = self.capacity
