--- a/src/daisyfall/policy/_candidates.py
+++ b/src/daisyfall/policy/_candidates.py
@@ -1,7 +1,7 @@
 """Choice of the runner for a task.
 
 Answers runners of uneven speed, and tasks whose data is on one rack. Each task goes to the runner
-on which it is expected to end first. Runners on which it ends early enough for its job count the
+on which it is expected to end first. Runners on which it ends little later than that count the
 same; of these, that with the largest free share of its CPU is taken, so that tasks don't queue at
 one runner while another one is idle. So long tasks go to fast runners, and short ones, for which
 the difference is small, to any. A task whose preferred rack has no room runs on another one.
@@ -10,11 +10,28 @@
 import math
 from collections.abc import Callable
 
+import attrs
+
 from daisyfall.policy import _pool_runners, _runner_capacity
 
-# A run that uses up at most this share of the time that its job may lose is early enough; the rest
-# covers run times that vary.
-SLACK_SHARE = 0.5
+# An end is little later if it uses up at most this share of the time that the job may lose. The
+# rest covers run times that vary.
+SLACK_SHARE = 0.25
+
+
+@attrs.frozen
+class _EndLimit:
+    """When a task may end so that it counts as ending as early as possible.
+
+    It ends at most `tolerance_ms` later, or together with the other tasks of its job.
+    """
+
+    tolerance_ms: float
+    ends_with_ms: float
+
+    def latest_ms(self, first_ms: float) -> float:
+        """Return the latest end that counts like the first possible one."""
+        return max(first_ms + self.tolerance_ms, self.ends_with_ms)
 
 
 class Candidates:
@@ -52,15 +69,18 @@
         fits = self._eligibility(demand, route)
         if self._only is not None:
             return self._only if fits(self._only) else None
-        run_ms = demand.expected_ms
-        good_ms = max(run_ms + SLACK_SHARE * max(slack_ms, 0.0), ends_with_ms)
-        near, near_ms = self._choose_near(demand, fits, good_ms)
+        tolerance_ms = SLACK_SHARE * max(slack_ms, 0.0)
+        limit = _EndLimit(tolerance_ms, ends_with_ms)
+        near, near_ms = self._choose_near(demand, fits, limit)
         factor = self._pool.remote_factor if demand.preferred_rack else 1.0
-        if near is not None and (factor == 1.0 or near_ms <= good_ms):
+        if near is not None and factor == 1.0:
+            return near
+        run_ms = demand.expected_ms * factor
+        if near is not None and near_ms <= limit.latest_ms(run_ms / self._pool.max_speed(self.now)):
+            return near
+        far, far_ms = self._choose_by_class(demand, fits, run_ms, limit)
+        if near is not None and near_ms <= limit.latest_ms(far_ms):
             return near
-        far, far_ms = self._choose_by_class(demand, fits, run_ms * factor, good_ms)
-        if far is None or (near is not None and near_ms <= max(far_ms, good_ms)):
-            return near or far
         return far
 
     def _eligibility(
@@ -83,27 +103,32 @@
         return is_eligible
 
     def _choose_near(
-        self, demand: _runner_capacity.Demand, is_eligible: Callable, good_ms: float
+        self, demand: _runner_capacity.Demand, is_eligible: Callable, limit: _EndLimit
     ) -> tuple[_runner_capacity.RunnerCapacity | None, float]:
         """Return the best runner of the preferred rack, and when the task ends there."""
-        best, best_key, best_ms = None, (), math.inf
         if not demand.preferred_rack:
-            return best, best_ms
-        for runner in self._pool.of_rack(demand.preferred_rack, self.now):
-            if runner.id in self._reserved or not is_eligible(runner):
-                continue
-            end_ms = self.run_ms(runner, demand)
-            key = (max(end_ms, good_ms), -runner.free_share, runner.id)
-            if best is None or key < best_key:
-                best, best_key, best_ms = runner, key, end_ms
-        return best, best_ms
+            return None, math.inf
+        found = [
+            (self.run_ms(runner, demand), runner)
+            for runner in self._pool.of_rack(demand.preferred_rack, self.now)
+            if runner.id not in self._reserved and is_eligible(runner)
+        ]
+        if not found:
+            return None, math.inf
+        first_ms = min(end_ms for end_ms, _ in found)
+        latest_ms = limit.latest_ms(first_ms)
+        best = max(
+            (runner for end_ms, runner in found if end_ms <= latest_ms),
+            key=lambda runner: (runner.free_share, runner.id),
+        )
+        return best, first_ms
 
     def _choose_by_class(
         self,
         demand: _runner_capacity.Demand,
         is_eligible: Callable,
         run_ms: float,
-        good_ms: float,
+        limit: _EndLimit,
     ) -> tuple[_runner_capacity.RunnerCapacity | None, float]:
         """Return the best runner of all racks, and when the task ends there.
 
@@ -113,7 +138,7 @@
         kept = reserved = None
         for speed, order in self._pool.by_class(self.now):
             end_ms = run_ms / speed
-            if best is not None and end_ms > max(best_ms, good_ms):
+            if best is not None and end_ms > limit.latest_ms(best_ms):
                 break
             for free, runner_id in order:
                 if best is not None and free >= best_free:
--- a/src/daisyfall/policy/_pool_runners.py
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -162,6 +162,10 @@
                 heapq.merge(order, sorted(probes)) if probes else order,
             )
 
+    def max_speed(self, now: float) -> float:
+        """Return the highest speed of a class that accepts tasks, 1.0 if there is none."""
+        return next((speed for speed, _ in self.by_class(now)), 1.0)
+
     def of_rack(self, rack: str, now: float) -> Iterator[_runner_capacity.RunnerCapacity]:
         """Yield the runners of a rack that accept tasks."""
         excluded_class = self._excluded_class(now)
--- a/src/daisyfall/policy/_runner_health.py
+++ b/src/daisyfall/policy/_runner_health.py
@@ -84,6 +84,7 @@
         match self.state:
             case State.PROBING:
                 self.state = State.RETURNING
+                self.slowness = 1.0
                 self.task_limit, self._successes = RETURN_LIMITS[0], 0
             case State.RETURNING:
                 self._successes += 1
