--- a/features/departures.feature
+++ b/features/departures.feature
@@ -28,6 +28,11 @@
     When it tells 5000 ms
     Then its departure has changed twice
 
+  Scenario: entries are told of a departure once
+    Given a pool agent with one scheduling entry
+    When the runner tells 2000 ms to its agent, 0.1 s later 1900 ms and 0.1 s later 1800 ms
+    Then the entry is told once that the runner takes no tasks and leaves in 2000 ms
+
   Scenario: a leaving runner gets no new tasks, its next incarnation does
     Given the uneven runners x:a:r1:1.0:60 y:a:r2:1.0:10
     When x leaves in 2000 ms
--- a/features/runner_replay.py
+++ b/features/runner_replay.py
@@ -15,6 +15,8 @@
 # Tasks and run time in ms of the jobs of each route, and its share of the work.
 ROUTES = ((8, 100.0, 0.33), (4, 1500.0, 0.33), (2, 350.0, 0.33))
 STRETCH, TARGET_S = 1.6, 0.06
+REMOTE_FACTOR = 2.0
+RACK_SIZE = 8
 
 
 @attrs.define(eq=False)
@@ -50,20 +52,26 @@
 
 
 class Replay:
-    """Jobs arrive at `load` times the capacity; `late` holds each job that missed its objective."""
+    """Jobs arrive at `load` times the capacity; `late` holds each job that missed its objective.
+
+    `hot_share` of the jobs of the last route prefer rack 0, all others one of the racks by turns.
+    """
 
     def __init__(self, speeds, load, seed=1):
         self.rng = random.Random(seed)
         self.now, self.jobs, self.load = 100.0, 0, load
-        self.scheduler = _scheduler.Scheduler(random.Random(2))
+        self.scheduler = _scheduler.Scheduler(random.Random(2), REMOTE_FACTOR)
         self.runner_by_id, self.route_by_job, self.left_by_job, self.arrival_by_job = {}, {}, {}, {}
+        self.hot_share, self.racks = 0.0, len(speeds) // RACK_SIZE
+        self.rack_by_job = {}
         self.moved, self.late, self.started_at_by_task = set(), {}, {}
         for number, speed in enumerate(speeds):
             kind, cpu = ("b", 96_000) if speed != 1.0 else ("a", 64_000)
-            runner = Runner(f"r{number}", speed, _runs.Runs(pool_stand_ins.BOUNDS))
+            runs = _runs.Runs(pool_stand_ins.BOUNDS, REMOTE_FACTOR)
+            runner = Runner(f"r{number}", speed, runs)
             runner.runs.capacity = (cpu, 64_000, 0)
             self.runner_by_id[runner.id] = runner
-            labels = (kind, f"rack{number // 8}")
+            labels = runner.runs.labels = (kind, f"rack{number // RACK_SIZE}")
             self.scheduler.update_runner(
                 _runner_capacity.RunnerCapacity(runner.id, "pool", cpu, 64_000, 0, labels, True)
             )
@@ -91,13 +99,17 @@
         job, (count, _, _) = f"j{self.jobs}", ROUTES[route]
         self.route_by_job[job], self.left_by_job[job] = route, count
         self.arrival_by_job[job] = self.now
+        is_hot = route == len(ROUTES) - 1 and self.rng.random() < self.hot_share
+        self.rack_by_job[job] = f"rack{0 if is_hot else self.jobs % self.racks}"
         self._submit(job, range(count))
 
     def _submit(self, job, indices, avoid=()):
         ms = ROUTES[self.route_by_job[job]][1]
         latest = self.arrival_by_job[job] + (STRETCH - 1) * ms / 1000 + TARGET_S - 0.02
         demands = [
-            _runner_capacity.Demand(f"{job}.0.{each}", job, CPU, 64, expected_ms=ms, avoid=avoid)
+            _runner_capacity.Demand(
+                f"{job}.0.{each}", job, CPU, 64, 0, ms, "", self.rack_by_job[job], 0, avoid
+            )
             for each in indices
         ]
         batch_id = f"{job}/{len(self.moved)}"
@@ -118,11 +130,14 @@
         job = task.split(".")[0]
         ms = ROUTES[self.route_by_job[job]][1]
         may_move = task not in self.moved
-        order = _pool_wire.RunTask(task, 1, job, "", CPU, 64, 0, ms, 100, may_move)
+        rack = self.rack_by_job[job]
+        order = _pool_wire.RunTask(task, 1, job, "", CPU, 64, 0, ms, 100, may_move, 0, "", rack)
         runner.runs.accept(order, "e", self.now)
         for run in runner.runs.pop_startable(self.now):
             runner.runs.started(run, self.now)
-        runner.work_by_task[task] = runner.left_by_task[task] = ms * self.rng.uniform(0.6, 1.4)
+        factor = 1.0 if rack in runner.runs.labels else REMOTE_FACTOR
+        work_ms = factor * ms * self.rng.uniform(0.6, 1.4)
+        runner.work_by_task[task] = runner.left_by_task[task] = work_ms
         self.started_at_by_task[task] = (self.now, runner.id)
 
     def _work(self, runner):
--- a/features/runner_speed.feature
+++ b/features/runner_speed.feature
@@ -127,3 +127,11 @@
     When 9 of its runners turn 8 times slower for 5 s
     Then no job was late before that
     And of the jobs that arrived since, at most 3 for each slow runner were late
+
+  # The rack has room for the tasks that prefer it, as long as others leave it to them; a run
+  # elsewhere takes twice as long and takes the room of other racks.
+  Scenario: a rack that suddenly gets much of the traffic makes hardly any job late
+    Given a replay of 60 runners of speeds 1.0, 1.0 and 1.3 at 60% load
+    When 60% of the jobs of a route prefer the same rack for 4 s
+    Then no job that prefers another rack is late
+    And at most 1% of the jobs that prefer the rack are late
--- a/features/steps/runner_speed_steps.py
+++ b/features/steps/runner_speed_steps.py
@@ -1,8 +1,10 @@
 """Steps for runners of uneven speed and runners that leave; the clock is simulated."""
 
+import asyncio
 import random
 
 import attrs
+import event_loop
 import hypothesis
 import pool_stand_ins
 import runner_replay
@@ -357,6 +359,28 @@
     assert len(late) <= 9 * count, len(late)
 
 
+@when("{share:d}% of the jobs of a route prefer the same rack for {seconds:g} s")
+def prefer_rack(context, share, seconds):
+    context.replay.hot_share = share / 100
+    context.replay.run(seconds)
+
+
+def late_jobs(context, *, hot):
+    rack_by_job = context.replay.rack_by_job
+    return [job for job in context.replay.late if (rack_by_job[job] == "rack0") == hot]
+
+
+@then("no job that prefers another rack is late")
+def check_other_racks(context):
+    assert not late_jobs(context, hot=False), late_jobs(context, hot=False)
+
+
+@then("at most {percent:d}% of the jobs that prefer the rack are late")
+def check_rack(context, percent):
+    count = list(context.replay.rack_by_job.values()).count("rack0")
+    assert len(late_jobs(context, hot=True)) <= count * percent / 100, count
+
+
 # Departures.
 
 
@@ -402,6 +426,26 @@
         tell_moment(context, remaining, 0.1 * number)
 
 
+@when("the runner tells 2000 ms to its agent, 0.1 s later 1900 ms and 0.1 s later 1800 ms")
+def drain_runner(context):
+    async def drain():
+        for number in range(3):
+            heartbeat = pool_stand_ins.runner_heartbeat(sequence=2 + number, is_draining=True)
+            remaining_ms = 2000 - 100 * number
+            heartbeat = attrs.evolve(heartbeat, remaining_ms=remaining_ms)
+            context.world.agent.handle_heartbeat(heartbeat)
+            await asyncio.sleep(0.1)
+
+    event_loop.run(context, drain())
+
+
+@then("the entry is told once that the runner takes no tasks and leaves in 2000 ms")
+def check_told(context):
+    states = context.world.entries["leader"].messages(_pool_wire.RunnerState)
+    leaving = [each for each in states if each.remaining_ms]
+    assert [(each.is_open, each.remaining_ms > 1950) for each in leaving] == [(False, True)], states
+
+
 @when("it tells {remaining:d} ms")
 def tell_moment(context, remaining, now=0.3):
     previous = context.moments[-1]
--- a/src/daisyfall/policy/_candidates.py
+++ b/src/daisyfall/policy/_candidates.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -49,6 +49,8 @@
         self._pool = pool
         self.now = now
         self._only = only
+        # Runners of confined routes, as of the task that is placed.
+        self._reserved: Collection[str] = ()
         self._update_max_free_cpu()
 
     def choose(
