Examine the runners of a preferred rack by their place in the order

Cause: a choice near a preferred rack asked each runner of the rack for its health and speed. Change: it reads the keys of the order; arriving work is recorded once for each rack of a batch.

--- a/src/daisyfall/policy/_candidates.py
+++ b/src/daisyfall/policy/_candidates.py
@@ -111,19 +111,18 @@
         if not demand.preferred_rack:
             return None, math.inf
         found = [
-            (self.run_ms(runner, demand), runner)
-            for runner in self._pool.of_rack(demand.preferred_rack, self.now)
-            if runner.id not in self._reserved and is_eligible(runner)
+            (demand.expected_ms / speed, free, runner.id, runner)
+            for speed, free, runner in self._pool.of_rack(demand.preferred_rack, self.now)
+            if runner.free_cpu >= demand.cpu
+            and runner.id not in self._reserved
+            and is_eligible(runner)
         ]
         if not found:
             return None, math.inf
-        first_ms = min(end_ms for end_ms, _ in found)
+        first_ms = min(end_ms for end_ms, _, _, _ in found)
         latest_ms = limit.latest_ms(first_ms)
-        best = max(
-            (runner for end_ms, runner in found if end_ms <= latest_ms),
-            key=lambda runner: (runner.free_share, runner.id),
-        )
-        return best, first_ms
+        best = min(row[1:] for row in found if row[0] <= latest_ms)
+        return best[-1], first_ms
 
     def _choose_by_class(
         self,
--- a/src/daisyfall/policy/_pool_runners.py
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -109,10 +109,15 @@
         """Record the racks that arriving tasks prefer, if these matter for their run times."""
         if self.remote_factor == 1.0:
             return
+        core_seconds_by_rack: dict[str, float] = {}
         for demand in demands:
-            if demand.preferred_rack:
+            rack = demand.preferred_rack
+            if rack:
                 core_seconds = demand.cpu * demand.expected_ms / 1e6
-                self.rack_demand.record(demand.preferred_rack, core_seconds, now)
+                core_seconds += core_seconds_by_rack.get(rack, 0.0)
+                core_seconds_by_rack[rack] = core_seconds
+        for rack, core_seconds in core_seconds_by_rack.items():
+            self.rack_demand.record(rack, core_seconds, now)
 
     def cpu_for(self, route: str) -> int:
         """Return the CPU of the healthy runners that accept tasks of a route, by their speed."""
@@ -164,14 +169,24 @@
 
     def max_speed(self, now: float) -> float:
         """Return the highest speed of a class that accepts tasks, 1.0 if there is none."""
-        return next((speed for speed, _ in self.by_class(now)), 1.0)
+        fastest = self._fastest_class(now)
+        return 1.0 if fastest == math.inf else _runner_speed.class_speed(fastest)
 
-    def of_rack(self, rack: str, now: float) -> Iterator[_runner_capacity.RunnerCapacity]:
-        """Yield the runners of a rack that accept tasks."""
+    def of_rack(
+        self, rack: str, now: float
+    ) -> Iterator[tuple[float, float, _runner_capacity.RunnerCapacity]]:
+        """Yield the runners of a rack that accept tasks: speed, minus free share, and runner."""
         excluded_class = self._excluded_class(now)
-        for runner in self._runners_by_rack.get(rack, {}).values():
-            if self._accepts(runner, now) and self.speed_class(runner) < excluded_class:
-                yield runner
+        for runner_id, runner in self._runners_by_rack.get(rack, {}).items():
+            keys = self._keys_by_id.get(runner_id)
+            if keys is not None:
+                speed_class, free = keys[0], keys[1]
+            elif runner_id in self._unhealthy_by_id and runner.health.accepts_tasks(now):
+                speed_class, free = self.speed_class(runner), -runner.free_share
+            else:
+                continue
+            if speed_class < excluded_class:
+                yield _runner_speed.class_speed(speed_class), free, runner
 
     def accepts_tasks(self, runner: _runner_capacity.RunnerCapacity, now: float) -> bool:
         """Return whether a runner may get a task."""
@@ -196,12 +211,16 @@
     def _accepts(self, runner: _runner_capacity.RunnerCapacity, now: float) -> bool:
         return runner.is_available and runner.health.accepts_tasks(now) and not runner.is_at_limit
 
-    def _excluded_class(self, now: float) -> float:
-        """Return the class from which runners are left out, as others are faster."""
-        fastest = next(iter(self._order.classes), math.inf)
+    def _fastest_class(self, now: float) -> float:
+        classes = self._order.classes
+        fastest = classes[0] if classes else math.inf
         if self._unhealthy_by_id:
             fastest = min([fastest, *self._probes_by_class(now)])
-        return _EXCLUSION_CLASS if fastest < _EXCLUSION_CLASS else math.inf
+        return fastest
+
+    def _excluded_class(self, now: float) -> float:
+        """Return the class from which runners are left out, as others are faster."""
+        return _EXCLUSION_CLASS if self._fastest_class(now) < _EXCLUSION_CLASS else math.inf
 
     def _probes_by_class(self, now: float) -> dict[int, list[tuple[float, str]]]:
         """Return the runners that are not in use but may get a probe."""
