--- a/src/daisyfall/platform/_node_settings.py
+++ b/src/daisyfall/platform/_node_settings.py
@@ -11,6 +11,7 @@
 DEFAULT_CONFIGURATION_MS = 2000.0
 DEFAULT_EVACUATION_MS = 5000.0
 DATA_CENTRE_PREFIX = "Zones."
+UNKNOWN_REMOTE_FACTOR = 1.0
 
 
 class NodeSettingsError(Exception):
@@ -27,7 +28,8 @@
     grants, `stop_task_s` the time in which it stops a task, `resend_s` the time after which a
     caller sends a request again, `grace_s` the time that the platform gives a process to stop.
     `configuration_bound_s` and `evacuation_bound_s` are the times within which a confirmed
-    configuration or evacuation has to be in force. `data_centres` names those of the deployment.
+    configuration or evacuation has to be in force. `data_centres` names those of the deployment. A
+    task takes `remote_factor` times as long away from its preferred rack.
     """
 
     node_id: str
@@ -47,6 +49,7 @@
     configuration_bound_s: float
     evacuation_bound_s: float
     data_centres: tuple[str, ...]
+    remote_factor: float = UNKNOWN_REMOTE_FACTOR
 
 
 def load(path: str, role_index: int) -> NodeSettings:
@@ -89,6 +92,9 @@
             for name in fields
             if name.startswith(DATA_CENTRE_PREFIX)
         ),
+        remote_factor=max(
+            reader.number("Bounds.RemoteFactor", UNKNOWN_REMOTE_FACTOR), UNKNOWN_REMOTE_FACTOR
+        ),
     )
 
 
--- a/src/daisyfall/policy/_job_queue.py
+++ b/src/daisyfall/policy/_job_queue.py
@@ -18,7 +18,7 @@
 import attrs
 import sortedcontainers
 
-from daisyfall.policy import _fair_shares, _pool_runners, _runner_capacity
+from daisyfall.policy import _candidates, _fair_shares, _runner_capacity
 
 # Bounds memory; at the usual job size a full queue holds several seconds of work.
 MAX_QUEUED_BATCHES = 4_000
@@ -188,7 +188,7 @@
         """Set the tasks of a queued batch that still wait; its place stays the same."""
         self.lane_by_key[batch.is_late, batch.priority].shrink(batch, remaining)
 
-    def placeable(self, candidates: _pool_runners.Candidates) -> Iterator[TaskBatch]:
+    def placeable(self, candidates: _candidates.Candidates) -> Iterator[TaskBatch]:
         """Yield the batches of which a task may fit, in queue order."""
         if candidates.max_free_cpu < self._min_cpu:
             return
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -6,6 +6,7 @@
 import attrs
 
 from daisyfall.policy import (
+    _candidates,
     _evacuations,
     _fair_shares,
     _gradual_return,
@@ -54,10 +55,15 @@
 
 
 class Scheduler:
-    """The queues by pool, and the capacity of all runners."""
+    """The queues by pool, and the capacity of all runners.
 
-    def __init__(self, rng: random.Random) -> None:
+    A task takes `remote_factor` times as long away from its preferred rack; 1.0 if that isn't
+    known.
+    """
+
+    def __init__(self, rng: random.Random, remote_factor: float = 1.0) -> None:
         self._rng = rng
+        self._remote_factor = remote_factor
         self.runner_by_id: dict[str, _runner_capacity.RunnerCapacity] = {}
         self._runners_by_pool: dict[str, _pool_runners.PoolRunners] = {}
         self._queue_by_pool: dict[str, _job_queue.JobQueue] = {}
@@ -81,10 +87,12 @@
             self._runners(known.pool).remove(known)
             known.pool = runner.pool
         known.labels, known.is_open = runner.labels, runner.is_open
+        known.leaves_at = runner.leaves_at
         if known.incarnation != runner.incarnation:
             known.incarnation = runner.incarnation
             known.health = _runner_health.RunnerHealth()
             known.largest = runner.largest
+            self._runners(known.pool).speeds.update(known.id, known.kind, 1.0, 0)
         known.resize(runner.cpu, runner.memory_mb, runner.accelerators)
         known.data_centre = runner.data_centre
         self._update_evacuation(known)
@@ -129,32 +137,54 @@
             self._runners(runner.pool).update(runner)
 
     def record_task_end(
-        self, runner_id: str, task: str, job_id: str, outcome: str, now: float
+        self,
+        runner_id: str,
+        task: str,
+        job_id: str,
+        outcome: str,
+        now: float,
+        *,
+        slowdown: float = 0.0,
     ) -> list[Placement]:
-        """Release a task's resources, update the runner's health and place what fits there now."""
+        """Release a task's resources, update the runner's health and place what fits there now.
+
+        `slowdown` is its run time over the expected one, 0 if unknown.
+        """
         runner = self.runner_by_id.get(runner_id)
         if runner is None:
             return []
-        runner.release(task)
-        if outcome == DONE:
-            runner.health.record_success()
+        allocation = runner.release(task)
+        placed_at = allocation.allocated_at if allocation is not None else now
+        health = runner.health
+        if outcome == DONE and slowdown >= _runner_health.SLOW_RUNNER_SLOWNESS:
+            health.record_slow_task(placed_at, now)
+        elif outcome == DONE:
+            health.record_success(placed_at)
         elif outcome == FAILED:
-            may_eject = self._may_eject(runner.pool)
-            runner.health.record_failure(job_id, now, may_eject=may_eject)
+            health.record_failure(job_id, now, may_eject=self._may_eject(runner.pool))
         elif outcome in RUNNER_FAULTS:
-            may_eject = self._may_eject(runner.pool)
-            runner.health.record_fault(now, may_eject=may_eject)
+            health.record_fault(now, may_eject=self._may_eject(runner.pool))
         self._runners(runner.pool).update(runner)
         if not len(self._queue(runner.pool)):
             return []
-        return self._place(runner.pool, self._candidates(runner.pool, now, runner), now)
+        candidates = self._candidate_runners(runner.pool, now, runner)
+        return self._place(runner.pool, candidates, now)
 
-    def update_slowness(self, runner_id: str, slowdown: float) -> None:
-        """Add a runner's median of run times over the expected ones, 0 if unknown."""
+    def update_speed(
+        self, runner_id: str, slowness: float, now: float, *, speed: float = 1.0, samples: int = 0
+    ) -> None:
+        """Set what the agent of a runner has measured.
+
+        `slowness` is the present median of run times over the expected ones, 0 if unknown, `speed`
+        the mean of expected run times over the measured ones in `samples` tasks.
+        """
         runner = self.runner_by_id.get(runner_id)
         if runner is not None:
-            runner.health.update_slowness(slowdown)
-            self._runners(runner.pool).update(runner)
+            runners = self._runners(runner.pool)
+            runners.speeds.update(runner_id, runner.kind, speed, samples)
+            may_eject = self._may_eject(runner.pool)
+            runner.health.update_slowness(slowness, now, may_eject=may_eject)
+            runners.update(runner)
 
     def submit(self, batch: _job_queue.TaskBatch, now: float) -> list[Placement | Refusal]:
         """Queue the tasks of a job; return the decisions that could be made at once."""
@@ -166,7 +196,8 @@
         queue = self._queue(batch.pool)
         batch.is_favoured = bool(len(queue)) and shares.is_under_share(batch, now)
         shares.record_request(batch, now)
-        candidates = self._candidates(batch.pool, now)
+        self._runners(batch.pool).record_demands(batch.demands, now)
+        candidates = self._candidate_runners(batch.pool, now)
         refusal = self._refuse_on_arrival(batch, candidates, now)
         if refusal is not None:
             return [refusal]
@@ -210,7 +241,7 @@
             runners.advance(now)
         for pool, queue in self._queue_by_pool.items():
             if len(queue):
-                decisions += self._place(pool, self._candidates(pool, now), now)
+                decisions += self._place(pool, self._candidate_runners(pool, now), now)
                 decisions += self._refuse_expired(pool, now)
                 decisions += self._refuse_displaced(pool, now)
         for shortage in self._shortage_by_pool.values():
@@ -219,7 +250,7 @@
 
     def copy_of_pool(self, pool: str) -> "Scheduler":
         """Return a scheduler with a copy of one pool, on which a decision can be tried."""
-        other = Scheduler(copy.copy(self._rng))
+        other = Scheduler(copy.copy(self._rng), self._remote_factor)
         other._runners_by_pool[pool] = self._runners(pool).copy()
         other.runner_by_id = other._runners_by_pool[pool].runner_by_id
         other._batch_by_id = dict(self._batch_by_id)
@@ -233,9 +264,9 @@
         other._shares_by_pool[pool] = copy.deepcopy(self._shares(pool))
         return other
 
-    def candidates(self, pool: str, now: float) -> _pool_runners.Candidates:
+    def candidates(self, pool: str, now: float) -> _candidates.Candidates:
         """Return the runners of a pool that may get a task now."""
-        return self._candidates(pool, now)
+        return self._candidate_runners(pool, now)
 
     def work_ahead(self, batch: _job_queue.TaskBatch) -> float:
         """Return the core seconds that are queued before a batch on the runners of its route."""
@@ -279,7 +310,7 @@
     def _runners(self, pool: str) -> _pool_runners.PoolRunners:
         runners = self._runners_by_pool.get(pool)
         if runners is None:
-            runners = self._runners_by_pool[pool] = _pool_runners.PoolRunners()
+            runners = self._runners_by_pool[pool] = _pool_runners.PoolRunners(self._remote_factor)
         return runners
 
     def _may_eject(self, pool: str) -> bool:
@@ -290,13 +321,13 @@
         runners = self._runners(pool)
         return runners.ejected < max(1, int(len(runners) * MAX_EJECTED_FRACTION))
 
-    def _candidates(
+    def _candidate_runners(
         self, pool: str, now: float, only: _runner_capacity.RunnerCapacity | None = None
-    ) -> _pool_runners.Candidates:
-        return _pool_runners.Candidates(self._runners(pool), now, only)
+    ) -> _candidates.Candidates:
+        return _candidates.Candidates(self._runners(pool), now, only)
 
     def _refuse_on_arrival(
-        self, batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates, now: float
+        self, batch: _job_queue.TaskBatch, candidates: _candidates.Candidates, now: float
     ) -> Refusal | None:
         runners = self._runners(batch.pool).runner_by_id.values()
         if runners and not all(
@@ -344,16 +375,14 @@
         after_s = longest_s * (1 + self._rng.random()) / 2
         return Refusal(batch, _evacuations.EVACUATED, after_s)
 
-    def _place(
-        self, pool: str, candidates: _pool_runners.Candidates, now: float
-    ) -> list[Placement]:
+    def _place(self, pool: str, candidates: _candidates.Candidates, now: float) -> list[Placement]:
         decisions = []
         for batch in self._queue(pool).placeable(candidates):
             decisions += self._place_batch(batch, candidates, now)
         return decisions
 
     def _place_batch(
-        self, batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates, now: float
+        self, batch: _job_queue.TaskBatch, candidates: _candidates.Candidates, now: float
     ) -> list[Placement]:
         """Place the tasks of a batch that fit; remove it from the queue if none is left."""
         if not self._shortage(batch.pool).may_start(batch, now):
@@ -414,16 +443,19 @@
 
 
 def _place_tasks(
-    batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates
+    batch: _job_queue.TaskBatch, candidates: _candidates.Candidates
 ) -> tuple[dict[str, str], list[_runner_capacity.Demand]]:
     """Place as many tasks of a batch as fit; return runner ids by task, and the other tasks."""
     runner_by_task: dict[str, str] = {}
     remaining = []
+    slack_ms = (batch.latest_start - candidates.now) * 1000
+    ends_with_ms = 0.0
     for demand in batch.demands:
-        runner = candidates.choose(demand, batch.route)
+        runner = candidates.choose(demand, batch.route, slack_ms, ends_with_ms)
         if runner is None:
             remaining.append(demand)
             continue
+        ends_with_ms = max(ends_with_ms, candidates.run_ms(runner, demand))
         candidates.allocate(runner, demand)
         runner_by_task[demand.task] = runner.id
     return runner_by_task, remaining
--- a/src/daisyfall/policy/_shortage.py
+++ b/src/daisyfall/policy/_shortage.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from daisyfall.policy import _expected_ends, _job_queue, _pool_runners, _retry_slots
+from daisyfall.policy import _candidates, _expected_ends, _job_queue, _pool_runners, _retry_slots
 
 # Share of the time until its latest start within which a queued job must be expected to start,
 # so that one that was accepted isn't refused for a small change of what is expected.
@@ -110,7 +110,7 @@
                 self._needs_review |= self._margin_by_lane[lane] < 0
 
     def may_wait(
-        self, batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates, now: float
+        self, batch: _job_queue.TaskBatch, candidates: _candidates.Candidates, now: float
     ) -> bool:
         """Return whether an arriving job may start or wait; otherwise it is refused."""
         if batch.has_started:
@@ -169,7 +169,7 @@
         return self._runners.confinement.bulkhead(batch.route) is not None
 
     def _may_wait_in_bulkhead(
-        self, batch: _job_queue.TaskBatch, candidates: _pool_runners.Candidates, now: float
+        self, batch: _job_queue.TaskBatch, candidates: _candidates.Candidates, now: float
     ) -> bool:
         """Return whether a job of a confined route may wait for the runners that it has.
 
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -57,7 +57,9 @@
             self._set_evacuated,
         )
         self._jobs = _pool_job_manager.PoolJobManager(settings.id, settings.bounds, metrics, rng)
-        self._placement = _placement_service.PlacementService(rng, self._deliver)
+        self._placement = _placement_service.PlacementService(
+            rng, self._deliver, settings.remote_factor
+        )
         self._leadership = _leadership.Leadership(
             settings.id, settings.cores, settings.started_ms, _clock.monotonic()
         )
@@ -184,6 +186,7 @@
             "links": len(self.peers.link_by_id),
             "configuration_version": self.shared.version,
             "evacuated_data_centres": len(self.shared.evacuated),
+            **self._placement.runner_counts(),
         }
 
     def _set_evacuated(self, data_centres: frozenset[str]) -> None:
