--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -107,7 +107,7 @@
     Then entry e sees the runner open
 
   Scenario Outline: faults right after the request
-    Given a platform deployment of 3 entries and 4 agents in 2 zones
+    Given a platform deployment of 3 entries and 4 agents in 2 data centres
     When the operator evacuates z1 for 4 s under load, and after <after> s <fault>
     Then no task started in z1 later than 1 s after the request
     And no invariant is violated
--- a/features/steps/pool_path_steps.py
+++ b/features/steps/pool_path_steps.py
@@ -13,11 +13,13 @@
 
 
 @given("a platform deployment of {entries:d} entries and {agents:d} agents")
-@given("a platform deployment of {entries:d} entries and {agents:d} agents in {zones:d} zones")
-def start_deployment(context, entries, agents, zones=1):
+@given(
+    "a platform deployment of {entries:d} entries and {agents:d} agents in {count:d} data centres"
+)
+def start_deployment(context, entries, agents, count=1):
     fleet = processes.Fleet()
     context.add_cleanup(fleet.stop_all)
-    context.deployment = platform_world.World(fleet, entries, agents, 11, zones)
+    context.deployment = platform_world.World(fleet, entries, agents, 11, count)
     event_loop.run(context, context.deployment.__aenter__())
     event_loop.at_end(context, context.deployment.__aexit__)
     event_loop.run(context, context.deployment.wait_ready())
