Bound the end of an agent's links, and shorten an idle agent's tick when it gets an order

Cause: the end of a process waited for peers that don't read the close of their link, without a limit. The timer of an idle agent (0.18 s) went on when an order made a shorter interval due.

An order or a stop hastens the tick.

--- a/features/pool_links.feature
+++ b/features/pool_links.feature
@@ -120,6 +120,12 @@
       | a function  |
       | a coroutine |
 
+  # An idle agent's timer must not delay the refusal of an order that waits for capacity.
+  Scenario: periodic work that a wake-up replaces is hastened when its interval becomes shorter
+    Given periodic work every 10 s that other wake-ups may replace
+    When its interval becomes 0.05 s and it is hastened
+    Then it is done within 0.5 s, although it raises, and the error is counted
+
   Scenario: the age of a message is its delay beyond the shortest recent one
     Given messages of a sender whose clock differs by 1000 s
     Then one that takes 5 ms after others of 2 ms has an age of 3 ms
--- a/features/steps/pool_links_steps.py
+++ b/features/steps/pool_links_steps.py
@@ -360,6 +360,36 @@
     context.ticker.cancel()
 
 
+@given("periodic work every {seconds:g} s that other wake-ups may replace")
+def make_deferrable(context, seconds):
+    context.interval_s, context.errors = seconds, []
+
+    def work():
+        raise RuntimeError("a mistake in the work")
+
+    context.deferrable = _ticker.DeferrableTicker(
+        work, lambda: context.interval_s, context.errors.append, "work"
+    )
+
+
+@when("its interval becomes {seconds:g} s and it is hastened")
+def hasten(context, seconds):
+    async def run():
+        context.deferrable.start()
+        context.interval_s = seconds
+        context.deferrable.hasten()
+        await asyncio.sleep(0.5)
+        context.deferrable.stop()
+
+    event_loop.run(context, run())
+
+
+@then("it is done within 0.5 s, although it raises, and the error is counted")
+def check_hastened(context):
+    assert context.deferrable.fired >= 2, context.deferrable.fired
+    assert set(context.errors) == {"work"}, context.errors
+
+
 def receive(context, seconds_later, delay_ms):
     context.now += seconds_later
     sent_ms = round(context.now * 1000 - delay_ms - context.offset_ms)
--- a/src/daisyfall/connection/_link.py
+++ b/src/daisyfall/connection/_link.py
@@ -254,7 +254,11 @@
         tasks = list(self._task_by_socket.values())
         for socket in list(self._task_by_socket):
             socket.close("the process stops")
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if tasks:
+            await asyncio.wait(tasks, timeout=HANDSHAKE_TIMEOUT_S)
+        # A peer that doesn't read would hold up the end of the process.
+        for socket in list(self._task_by_socket):
+            socket.abort()
 
     def _start_accepting(self, socket: _message_socket.MessageSocket) -> None:
         task = asyncio.create_task(self._accept(socket))
--- a/src/daisyfall/process/_pool_agent.py
+++ b/src/daisyfall/process/_pool_agent.py
@@ -204,8 +204,10 @@
             case _pool_wire.RunTask():
                 self._accept(session, message)
                 self._update_timing(session, has_tasks=True)
+                self.ticker.hasten()
             case _pool_wire.StopTask():
                 self._stop(session, message)
+                self.ticker.hasten()
             case _pool_wire.Heartbeat():
                 self._handle_heartbeat(session, message)
             case _:
--- a/src/daisyfall/process/_ticker.py
+++ b/src/daisyfall/process/_ticker.py
@@ -66,6 +66,14 @@
         if self._timer is not None and self._loop.time() - self._ran_at >= least_s:
             self._run()
 
+    def hasten(self) -> None:
+        """Call the action earlier if the interval has become shorter."""
+        if self._timer is not None:
+            due_at = self._loop.time() + self._interval_s()
+            if self._timer.when() > due_at:
+                self._timer.cancel()
+                self._timer = self._loop.call_at(due_at, self._fire)
+
     def _fire(self) -> None:
         self.fired += 1
         self._run()
