--- a/src/daisyfall/policy/_shortage.py
+++ b/src/daisyfall/policy/_shortage.py
@@ -28,7 +28,7 @@
 DISPLACED_SMOOTHING = 0.02
 # Share of the work that arrived lately and is expected to arrive again. Arrivals vary, and a job
 # that waits needs only one moment in which there is room for it.
-EXPECTED_SHARE = 0.85
+EXPECTED_SHARE = 0.75
 # Share of the time until its latest start that the work ahead of a job of a confined route may
 # take.
 BULKHEAD_SHARE = 0.5
