--- a/features/steps/placement_explanation_steps.py
+++ b/features/steps/placement_explanation_steps.py
@@ -95,7 +95,12 @@
         },
         [(each.id, each.has_started) for each in scheduler._queue(POOL).batches],
         sorted(scheduler._batch_by_id),
-        (pool.free_cpu, pool.healthy_cpu, pool._returned_cpu, list(pool._order.by_falling_free_cpu())),
+        (
+            pool.free_cpu,
+            pool.healthy_cpu,
+            pool._returned_cpu,
+            list(pool._order.by_falling_free_cpu()),
+        ),
         pool.confinement._work_by_route,
         scheduler._rng.getstate(),
     )
