Move a task that runs alone on a slow runner after three slow reports

Change: a run that was slow in three windows in a row is moved without a second sample. Result: a scenario shows it.

--- a/features/runner_speed.feature
+++ b/features/runner_speed.feature
@@ -81,6 +81,14 @@
       | 4       | 10      | no   |
       | 4       | 6       | no   |
 
+  # A single task may be slow because its estimate is wrong, so it takes longer to be sure.
+  Scenario: a task that runs alone on a slow runner is moved after three reports
+    Given 1 tasks of 1000 ms run after 0 tasks ended in time
+    When each gets on by 1 percent in 0.1 s
+    Then 0 tasks are moved
+    When each gets on by 1 percent in 0.1 s
+    Then 1 tasks are moved
+
   Scenario: late answers don't make a runner count as slow
     Given 4 tasks of 1000 ms run after 16 tasks ended in time
     When each gets on by 10 percent in 0.1 s
--- a/features/steps/runner_speed_steps.py
+++ b/features/steps/runner_speed_steps.py
@@ -270,6 +270,12 @@
     )
 
 
+@then("{count:d} tasks are moved")
+def check_moves(context, count):
+    stops = [each.stop_reason for each in context.runs.due_stops(context.now)]
+    assert stops == ["straggling"] * count, stops
+
+
 @when("x turns slow")
 def turn_slow(context):
     context.scheduler.update_speed("x", 8.0, context.now, samples=32)
--- a/src/daisyfall/policy/_stragglers.py
+++ b/src/daisyfall/policy/_stragglers.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from daisyfall.policy import _runner_health
+
 # Progress is measured over at least this time, shorter than the interval of a runner's reports, and
 # over this share of the expected run time if that is longer, since it is in whole percents.
 MIN_WINDOW_S = 0.09
@@ -23,8 +25,10 @@
 # Weight of the expected speed in the median, in samples: a single task has to be much slower than
 # expected for its runner to count as slow.
 PRIOR_SAMPLES = 0.5
-# A run is only stopped as a straggler if this many tasks show that the runner is slow.
+# A run is only stopped as a straggler if this many tasks show that the runner is slow, or if it
+# runs alone and has been slow in this many windows in a row.
 MIN_SAMPLES = 2
+MIN_SLOW_WINDOWS = 3
 # The remaining time has to exceed a fresh run by this factor and by the ms of stop, placement and
 # start.
 RESCHEDULE_FACTOR = 1.5
@@ -34,7 +38,7 @@
 
 @attrs.define(slots=True, eq=False)
 class TaskProgress:
-    """Progress of one running task; `slowdown` is 0 if unknown.
+    """Progress of one running task; `slowdown` is 0 if unknown, `slow_windows` in a row were slow.
 
     Windows are measured by the runner's clock, since answers may be late; the first one begins
     when the start was confirmed, at `started_at`, which is of the agent's clock.
@@ -44,6 +48,7 @@
     started_at: float
     percent: float = 0.0
     slowdown: float = 0.0
+    slow_windows: int = 0
     _window_start_percent: float = 0.0
     _window_start: float = -1.0
 
@@ -57,6 +62,8 @@
             progress = max(percent - self._window_start_percent, MIN_PROGRESS_PERCENT)
             total_ms = elapsed_s * 1000 * 100 / progress
             self.slowdown = min(total_ms / self.expected_ms, MAX_SLOWDOWN)
+            is_slow = self.slowdown >= _runner_health.SLOW_RUNNER_SLOWNESS
+            self.slow_windows = self.slow_windows + 1 if is_slow else 0
             self._window_start, self._window_start_percent = runner_clock, percent
 
     @property
--- a/src/daisyfall/request/_runs.py
+++ b/src/daisyfall/request/_runs.py
@@ -239,9 +239,16 @@
         These are the stragglers on a slow runner, and what can't end before the runner leaves.
         """
         has_samples = len(self._slowdowns(now)) >= _stragglers.MIN_SAMPLES
-        is_slow = has_samples and self.is_slow(now)
+        min_windows = 0 if has_samples else _stragglers.MIN_SLOW_WINDOWS
+        is_slow = self.is_slow(now)
         for run in self.run_by_task.values():
-            if is_slow and run.may_move and run.progress.should_reschedule():
+            is_straggler = (
+                is_slow
+                and run.may_move
+                and run.progress.slow_windows >= min_windows
+                and run.progress.should_reschedule()
+            )
+            if is_straggler:
                 run.stop_reason = _run.STRAGGLING
             elif self.leaves_at != _departures.NEVER and run.may_move and run.progress.slowdown:
                 ends_at = now + run.progress.remaining_ms / 1000
