Leave new callers to other entries while scheduling saturates an entry's processor

Change: above a mean lag of its event loop the scheduling entry reports itself not ready and closes callers' connections after their answers, for at least 3 s.

--- a/src/daisyfall/platform/_caller_api.py
+++ b/src/daisyfall/platform/_caller_api.py
@@ -50,7 +50,7 @@
 
     async def _handle(self, request: web.Request) -> web.Response:
         response = await self._route(request)
-        if self._entry.is_draining:
+        if self._entry.closes_connections:
             response.force_close()
         return response
 
--- a/src/daisyfall/process/_leadership.py
+++ b/src/daisyfall/process/_leadership.py
@@ -68,6 +68,11 @@
         """Return whether this entry has chosen itself."""
         return self._has_chosen and self.leader_id == self._own_id
 
+    @property
+    def has_available_peer(self) -> bool:
+        """Return whether another entry can serve callers."""
+        return any(peer.is_available for peer in self._peer_by_id.values())
+
     def is_starting(self, now: float) -> bool:
         """Return whether this process has just started, and has no leader to keep."""
         return now - self._started_at < _election.STABLE_AFTER_S
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -10,7 +10,7 @@
 
 from daisyfall import _clock, _pool_wire
 from daisyfall.connection import _link, _loop_turns
-from daisyfall.policy import _job_queue
+from daisyfall.policy import _job_queue, _rotation
 from daisyfall.process import (
     _entry_heartbeats,
     _leadership,
@@ -93,6 +93,7 @@
         self._tick_due_at = math.inf
         # By how much the last tick was late, as the event loop was busy.
         self._lag_s = 0.0
+        self._rotation = _rotation.Rotation(_clock.monotonic())
         self._timing_updated_at = float("-inf")
         self._pause_detector = _pause_detector.PauseDetector(self._reset_links)
 
@@ -141,13 +142,14 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether this entry is ready for requests of callers."""
-        return self.configuration is not None and self._is_available
+        """Return whether this entry is ready for new callers."""
+        is_served = self.configuration is not None and self._is_available
+        return is_served and self._rotation.is_in
 
     @property
-    def is_draining(self) -> bool:
-        """Return whether the process is stopping."""
-        return self._is_draining
+    def closes_connections(self) -> bool:
+        """Return whether callers should open their next connection to another entry."""
+        return self._is_draining or not self._rotation.is_in
 
     @property
     def _is_available(self) -> bool:
@@ -175,8 +177,16 @@
         self._placement.advance()
         self._lag_s = max(now - self._tick_due_at, 0.0)
         self._jobs.limits.observe(now, self._lag_s)
+        self._update_rotation(now)
         self._jobs.expire(now)
 
+    def _update_rotation(self, now: float) -> None:
+        """Leave callers to the other entries while scheduling takes all of the processor."""
+        may_leave = self._leadership.is_leader and self._leadership.has_available_peer
+        if self._rotation.observe(now, self._lag_s, may_leave=may_leave):
+            log = loguru.logger.bind(in_rotation=self._rotation.is_in)
+            log.warning("readiness for new callers changed")
+
     def _state_quantities(self) -> dict[str, float]:
         return {
             "jobs": len(self._jobs),
