Divide a group's share between its large jobs and the others by what they ask for

Change: the large jobs of a group share with its others in proportion, and favoured jobs that wait count as given.

--- a/src/daisyfall/policy/_fair_shares.py
+++ b/src/daisyfall/policy/_fair_shares.py
@@ -5,8 +5,9 @@
 shortage, a group that was given less than its max-min share goes first within its priority. The
 max-min share gives each group what it asks for up to a level that is the same for all.
 
-A job that is much larger than its route's usual ones belongs to a group of its own, as it waits
-for more runners than the others and would be overtaken by them.
+A job that is much larger than its route's usual ones waits for more runners than the others and
+would be overtaken by them. So the share of a group is divided between its large jobs and the others
+by what they ask for.
 """
 
 import math
@@ -28,13 +29,21 @@
 
 @attrs.frozen
 class Group:
-    """Callers that share a share: a route (and by it an organisation) and a data centre."""
+    """Callers that share a share: a route (and by it an organisation) and a data centre.
+
+    With `is_large`, its large jobs, otherwise the others.
+    """
 
     priority: int
     route: str
     data_centre: str
     is_large: bool
 
+    @property
+    def callers(self) -> tuple[int, str, str]:
+        """Return what the group has in common with that of its other jobs."""
+        return (self.priority, self.route, self.data_centre)
+
 
 @attrs.define(slots=True)
 class DecayingSum:
@@ -73,10 +82,15 @@
 
 @attrs.define(slots=True)
 class GroupSums:
-    """What a group asked for and what it was given, in core seconds."""
+    """What a group asked for and what it was given, in core seconds.
+
+    `favoured` is the work of its favoured jobs that wait: it counts as given, or all jobs of a
+    burst would be favoured for a deficit that a few of them make up.
+    """
 
     asked: DecayingSum = attrs.Factory(DecayingSum)
     given: DecayingSum = attrs.Factory(DecayingSum)
+    favoured: DecayingSum = attrs.Factory(DecayingSum)
 
 
 class FairShares:
@@ -98,6 +112,8 @@
         jobs.add(1.0, now)
         sums = self._sums(self._group_of(batch))
         sums.asked.add(batch.core_seconds, now)
+        if batch.is_favoured:
+            sums.favoured.add(batch.core_seconds, now)
         if batch.served:
             known = self._given(batch)
             missing = batch.served - known.at(now)
@@ -111,6 +127,13 @@
         """Record the expected work of tasks that were placed."""
         self._sums(self._group_of(batch)).given.add(core_seconds, now)
         self._given(batch).add(core_seconds, now)
+        self.record_end_of_wait(batch, core_seconds, now)
+
+    def record_end_of_wait(self, batch, core_seconds: float, now: float) -> None:
+        """Record that tasks of a job don't wait any more: they were placed, or it was refused."""
+        if batch.is_favoured:
+            favoured = self._sums(self._group_of(batch)).favoured
+            favoured.add(-min(core_seconds, favoured.at(now)), now)
 
     def _group_of(self, batch) -> Group:
         """Return the group of a job, which stays the same while its tasks start."""
@@ -129,11 +152,18 @@
         """
         if now - self._levels_computed_at >= LEVEL_INTERVAL_S:
             self._compute_levels(now)
-        sums = self._sums_by_group.get(self._group_of(batch))
+        group = self._group_of(batch)
+        sums = self._sums_by_group.get(group)
         level = self._level_by_priority.get(batch.priority)
         if sums is None or level is None:
             return False
-        return sums.given.at(now) < FAVOURED_FRACTION * min(sums.asked.at(now), level)
+        asked = sums.asked.at(now)
+        other = self._sums_by_group.get(attrs.evolve(group, is_large=not group.is_large))
+        asked_by_all = asked + (other.asked.at(now) if other else 0.0)
+        if not asked_by_all:
+            return False
+        share = min(asked_by_all, level) * asked / asked_by_all
+        return sums.given.at(now) + sums.favoured.at(now) < FAVOURED_FRACTION * share
 
     def _sums(self, group: Group) -> GroupSums:
         sums = self._sums_by_group.get(group)
@@ -161,10 +191,16 @@
             for key, given in self._given_by_entry.items()
             if given.at(now) > FORGOTTEN_WORK
         }
-        amounts_by_priority: dict[int, list[tuple[float, float]]] = {}
+        amounts_by_callers: dict[tuple[int, str, str], tuple[float, float]] = {}
         for group, sums in self._sums_by_group.items():
-            amounts = amounts_by_priority.setdefault(group.priority, [])
-            amounts.append((sums.asked.at(now), sums.given.at(now)))
+            asked, given = amounts_by_callers.get(group.callers, (0.0, 0.0))
+            amounts_by_callers[group.callers] = (
+                asked + sums.asked.at(now),
+                given + sums.given.at(now),
+            )
+        amounts_by_priority: dict[int, list[tuple[float, float]]] = {}
+        for (priority, _, _), amounts in amounts_by_callers.items():
+            amounts_by_priority.setdefault(priority, []).append(amounts)
         self._level_by_priority = {
             priority: max_min_level(
                 [asked for asked, _ in amounts], sum(given for _, given in amounts)
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -427,6 +427,7 @@
         for batch in expired:
             del self._batch_by_id[batch.id]
             self._shortage(pool).record_end_of_wait(batch.priority, is_refused=True)
+            self._shares(pool).record_end_of_wait(batch, batch.core_seconds, now)
         return [self._refusal(batch, EXPIRED, now) for batch in expired]
 
     def _refuse_displaced(self, pool: str, now: float) -> list[Refusal]:
@@ -435,6 +436,7 @@
         for batch in displaced:
             self._remove(batch)
             self._shortage(pool).record_end_of_wait(batch.priority, is_refused=True)
+            self._shares(pool).record_end_of_wait(batch, batch.core_seconds, now)
         return [self._refusal(batch, DISPLACED, now) for batch in displaced]
 
     def _remove(self, batch: _job_queue.TaskBatch) -> None:
