Mend what the review of the merged parts found

Cause, by a reader of each part who hadn't written it: an accepted link outlived an exception of its handler; a dial task ended for good at a port out of range; messages that could not be encoded were lost while the link stayed up; an agent that knew of an evacuation from a lost entry wasn't told of its end; the only runner of a pool was ejected for slowness; jobs that were late already took the place of jobs in time, and started in part; expected ends ignored the runner's speed; the explanation of a pool ignored evacuations. Change: one small fix for each; the first choice of an entry is announced at once.

--- a/src/daisyfall/connection/_link.py
+++ b/src/daisyfall/connection/_link.py
@@ -169,6 +169,12 @@
         log.opt(exception=error).error("link reset after a bad message")
         self.abort(f"{reason} message: {error}")
 
+    def _fail(self, text: str, error: Exception) -> None:
+        """Reset the link after an error of this side."""
+        self._count_error("unhandled")
+        loguru.logger.bind(peer=self.peer.node_id).opt(exception=error).error(text)
+        self.abort(f"{text}: {error}")
+
     def _schedule_heartbeat(self, now: float) -> None:
         """Schedule the next heartbeat at a multiple of the interval.
 
@@ -196,7 +202,11 @@
             return
         is_served = self._make_heartbeat is not None
         if is_served and self._socket.is_writable and self._is_heartbeat_needed(now):
-            self._unsent.append(self._make_heartbeat())
+            try:
+                self._unsent.append(self._make_heartbeat())
+            except Exception as error:
+                self._fail("no heartbeat", error)
+                return
             self._heartbeat_sent_at = now
             self._flush()
         self._schedule_heartbeat(now)
@@ -213,7 +223,11 @@
         if self._unsent and not self.is_closed and self._socket.is_writable:
             messages, self._unsent = self._unsent, []
             self._sent_at = _clock.monotonic()
-            self._socket.send(_codec.encode_batch(messages))
+            try:
+                self._socket.send(_codec.encode_batch(messages))
+            except Exception as error:
+                # Without the lost messages the peer's state would differ from this side's.
+                self._fail("messages not sent", error)
 
 
 async def dial(
@@ -292,8 +306,14 @@
             loguru.logger.bind(reason=str(error)).warning("link refused")
             socket.abort("handshake refused")
             return
-        socket.send(_codec.encode(make_handshake()))
-        await serve(Link(socket, peer, count_error))
+        try:
+            socket.send(_codec.encode(make_handshake()))
+            await serve(Link(socket, peer, count_error))
+        except Exception as error:
+            count_error("unhandled")
+            loguru.logger.opt(exception=error).bind(peer=peer.node_id).error("link failed")
+        finally:
+            socket.abort("the handler ended")
 
     return Listener(
         lambda on_connected: _message_socket.listen(address, port, MAX_FRAME_BYTES, on_connected),
--- a/src/daisyfall/connection/_message_socket.py
+++ b/src/daisyfall/connection/_message_socket.py
@@ -17,7 +17,13 @@
 # No more messages are written while this many bytes wait for the peer to read.
 MAX_UNWRITTEN_BYTES = 32 * 1024
 # An address that is not valid is a `ValueError`.
-CONNECTION_ERRORS = (OSError, TimeoutError, ValueError, exceptions.WebSocketException)
+CONNECTION_ERRORS = (
+    OSError,
+    TimeoutError,
+    ValueError,
+    OverflowError,  # a port that is out of range
+    exceptions.WebSocketException,
+)
 
 
 class MessageSocket(asyncio.Protocol):
--- a/src/daisyfall/platform/_operator_rows.py
+++ b/src/daisyfall/platform/_operator_rows.py
@@ -34,7 +34,8 @@
         """
         evacuations, unreadable = self._decode_evacuations(rows)
         if read_version is None:
-            self._shared.apply_evacuations(evacuations)
+            if evacuations:
+                self._shared.apply_evacuations(evacuations, are_stored=True)
         else:
             self._logged_keys.intersection_update(row.key for row in rows)
             self._shared.apply_all_evacuations(evacuations, unreadable, read_version)
--- a/src/daisyfall/policy/_candidates.py
+++ b/src/daisyfall/policy/_candidates.py
@@ -182,7 +182,7 @@
         self, runner: _runner_capacity.RunnerCapacity, demand: _runner_capacity.Demand
     ) -> None:
         """Allocate the resources of a task on the runner that was chosen for it."""
-        runner.allocate(demand, self.now)
+        runner.allocate(demand, self.now, self.run_ms(runner, demand))
         self._pool.update(runner)
         self._update_max_free_cpu()
 
--- a/src/daisyfall/policy/_pool_runners.py
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -148,6 +148,19 @@
         returned_cpu = self._returned_cpu + self._previous_returned_cpu
         return not self.healthy_cpu or returned_cpu > RECOVERED_SHARE * self.healthy_cpu
 
+    def has_fast_others(self, runner: _runner_capacity.RunnerCapacity) -> bool:
+        """Return whether most of the other available runners are in use and not slow.
+
+        If most are slow, the expected run times are wrong, or all hosts are busy.
+        """
+        others = [
+            other
+            for other in self.runner_by_id.values()
+            if other is not runner and other.is_available
+        ]
+        fast = sum(other.health.is_in_use and not other.health.is_slow for other in others)
+        return 2 * fast > len(others)
+
     def fits_evacuated_only(self, demand: _runner_capacity.Demand) -> bool:
         """Return whether only runners of evacuated data centres could ever run a task."""
         # Available runners come first, as nearly every one of them can run most tasks.
@@ -320,7 +333,7 @@
             self._order.add(keys)
         self._keys_by_id[runner.id] = keys
         speed = _runner_speed.class_speed(speed_class)
-        weighted = (round(runner.offered_cpu * speed), round(runner.free_cpu * speed))
+        weighted = (round(runner.offered_cpu * speed), round(max(runner.free_cpu, 0) * speed))
         self._weighted_cpu_by_id[runner.id] = weighted
         self.healthy_cpu += weighted[0]
         self.free_cpu += weighted[1]
--- a/src/daisyfall/policy/_runner_capacity.py
+++ b/src/daisyfall/policy/_runner_capacity.py
@@ -117,16 +117,17 @@
         other.health = copy.copy(self.health)
         return other
 
-    def allocate(self, demand: Demand, now: float) -> None:
-        """Allocate the resources of a task."""
+    def allocate(self, demand: Demand, now: float, run_ms: float | None = None) -> None:
+        """Allocate the resources of a task that is expected to run for `run_ms` here."""
+        run_s = (demand.expected_ms if run_ms is None else run_ms) / 1000
         self.allocation_by_task[demand.task] = Allocation(
             demand.cpu,
             demand.memory_mb,
             demand.accelerators,
             now,
             demand.job_id,
-            now + demand.expected_ms / 1000,
-            demand.expected_ms / 1000,
+            now + run_s,
+            run_s,
         )
         self.free_cpu -= demand.cpu
         self.free_memory_mb -= demand.memory_mb
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -182,7 +182,9 @@
         if runner is not None:
             runners = self._runners(runner.pool)
             runners.speeds.update(runner_id, runner.kind, speed, samples)
+            is_slow = slowness >= _runner_health.SLOW_RUNNER_SLOWNESS
             may_eject = self._may_eject(runner.pool)
+            may_eject = may_eject and (not is_slow or runners.has_fast_others(runner))
             runner.health.update_slowness(slowness, now, may_eject=may_eject)
             runners.update(runner)
 
@@ -197,6 +199,9 @@
         batch.is_favoured = bool(len(queue)) and shares.is_under_share(batch, now)
         shares.record_request(batch, now)
         self._runners(batch.pool).record_demands(batch.demands, now)
+        # A job that has waited for another scheduling entry may be late already.
+        is_late = now > batch.latest_start and batch.may_become_late(now)
+        batch.is_late = is_late and self._runners(batch.pool).is_recovering()
         candidates = self._candidate_runners(batch.pool, now)
         refusal = self._refuse_on_arrival(batch, candidates, now)
         if refusal is not None:
@@ -241,8 +246,9 @@
             runners.advance(now)
         for pool, queue in self._queue_by_pool.items():
             if len(queue):
-                decisions += self._place(pool, self._candidate_runners(pool, now), now)
+                # Jobs that have become late make room for those that can still be in time.
                 decisions += self._refuse_expired(pool, now)
+                decisions += self._place(pool, self._candidate_runners(pool, now), now)
                 decisions += self._refuse_displaced(pool, now)
         for shortage in self._shortage_by_pool.values():
             shortage.advance(now)
@@ -262,6 +268,9 @@
             other._runners(pool), other._queue(pool)
         )
         other._shares_by_pool[pool] = copy.deepcopy(self._shares(pool))
+        other._evacuated = self._evacuated
+        other._returns = copy.deepcopy(self._returns)
+        other._share_by_data_centre = self._share_by_data_centre
         return other
 
     def candidates(self, pool: str, now: float) -> _candidates.Candidates:
--- a/src/daisyfall/policy/_shortage.py
+++ b/src/daisyfall/policy/_shortage.py
@@ -153,8 +153,12 @@
             return False
         if batch.has_started or len(batch.demands) == 1:
             return True
+        has_room = self._runners.room_for(batch.demands[0].cpu, batch.cpu) >= batch.cpu
+        if batch.is_late and not self._is_confined(batch):
+            # Once started, its other tasks would go ahead of jobs that can still be in time.
+            return has_room
         return (
-            self._runners.room_for(batch.demands[0].cpu, batch.cpu) >= batch.cpu
+            has_room
             or self._is_confined(batch)
             or not self.is_predictable()
             or self._waits_for_return(batch, now)
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -291,12 +291,18 @@
 
     def _update_leader(self, now: float) -> None:
         """Choose the leader; move waiting placement requests from the previous one to it."""
-        previous_id = self._leadership.leader_id
+        previous_id, was_leader = self._leadership.leader_id, self._leadership.is_leader
         if self.peers.are_nodes_known:
             self._leadership.set_registered(self.peers.ids(_pool_wire.ROLE_ENTRY), now)
         changed = self._leadership.choose(now, self._entry_links(), is_available=self._is_available)
-        if not changed:
-            return
+        if changed:
+            self._move_requests(previous_id, now)
+        if changed or self._leadership.is_leader != was_leader:
+            self._heartbeats.update(now)
+            self._heartbeats.broadcast()
+
+    def _move_requests(self, previous_id: str, now: float) -> None:
+        """Request placements again that wait at the previous scheduling entry."""
         loguru.logger.bind(leader=self._leadership.leader_id).info("scheduling entry changed")
         job_ids = self._jobs.waiting_job_ids()
         for job_id in job_ids:
@@ -304,8 +310,6 @@
         if self._requesting_again is not None:
             self._requesting_again.cancel()
         self._requesting_again = asyncio.create_task(self._request_again(job_ids, now))
-        self._heartbeats.update(now)
-        self._heartbeats.broadcast()
 
     async def _request_again(self, job_ids: list[str], changed_at: float) -> None:
         for job_id in job_ids:
@@ -325,8 +329,8 @@
         """Handle a new link."""
         self._heartbeats.set_timing(node, link, _clock.monotonic())
         if node.role == _pool_wire.ROLE_AGENT:
-            self.shared.send_to_agent(link)
             self._jobs.mark_unreconciled(node.id)
+            self.shared.send_to_agent(link)
             link.send(self.heartbeat(node))
             return
         self.shared.send_to_entry(link)
@@ -378,10 +382,10 @@
         if previous is not None:
             previous.abort("the entry opened a new link")
         self._incoming_by_id[peer_id] = link
-        self.shared.send_to_entry(link)
-        self._heartbeats.set_incoming_timing(peer_id, link)
-        self.peers.redial(peer_id)
         try:
+            self.shared.send_to_entry(link)
+            self._heartbeats.set_incoming_timing(peer_id, link)
+            self.peers.redial(peer_id)
             await link.serve(
                 lambda message: self._handle_incoming(peer_id, link, message),
                 lambda: self._heartbeats.for_incoming(peer_id, link),
--- a/src/daisyfall/process/_pool_peers.py
+++ b/src/daisyfall/process/_pool_peers.py
@@ -146,7 +146,12 @@
                 continue
             if link.peer.node_id == node.id:
                 backoff_s, refused = INITIAL_BACKOFF_S, 0
-                await self._serve(node, link)
+                try:
+                    await self._serve(node, link)
+                except Exception as error:
+                    log = loguru.logger.bind(node=node.id).opt(exception=error)
+                    log.error("link failed")
+                    self._handler.count_link_error("unhandled")
             else:
                 log = loguru.logger.bind(node=node.id, found=link.peer.node_id)
                 log.warning("another node answered at this address")
--- a/src/daisyfall/process/_shared_state.py
+++ b/src/daisyfall/process/_shared_state.py
@@ -61,19 +61,21 @@
         for _, link in self._peers.links(_pool_wire.ROLE_ENTRY):
             link.send(_pool_wire.ConfigurationUpdate(configuration.version, document))
 
-    def apply_evacuations(self, rows: Iterable[Sequence]) -> None:
+    def apply_evacuations(self, rows: Iterable[Sequence], *, are_stored: bool = False) -> None:
         """Apply rows of `[data centre, version, is evacuated]`; older ones change nothing.
 
-        Raise `TypeError` for a row that has other fields.
+        With `are_stored`, they were read from the store. Raise `TypeError` for a row that has
+        other fields.
         """
-        self._pass_on(self._evacuations.merge(_decode_states(rows)))
+        self._pass_on(self._evacuations.merge(_decode_states(rows)), tells_agents=are_stored)
 
     def apply_all_evacuations(
         self, rows: Iterable[Sequence], unreadable: Iterable[str], version: int
     ) -> None:
         """Apply all rows of the operator's table, as in `Evacuations.merge_full_read`."""
         states = _decode_states(rows)
-        self._pass_on(self._evacuations.merge_full_read(states, unreadable, version))
+        news = self._evacuations.merge_full_read(states, unreadable, version)
+        self._pass_on(news, tells_agents=True)
 
     def is_known_data_centre(self, data_centre: str) -> bool:
         """Return whether a data centre is part of the deployment."""
@@ -85,14 +87,19 @@
             self._evacuations.add_known(data_centre)
             self._update_evacuated()
 
-    def _pass_on(self, news: list[_evacuations.State]) -> None:
-        """Tell all peers of new states, and then this entry's scheduler."""
-        if not news:
-            return
-        for role in _pool_wire.ROLES:
-            for _, link in self._peers.links(role):
+    def _pass_on(self, news: list[_evacuations.State], *, tells_agents: bool) -> None:
+        """Tell all peers of new states, and then this entry's scheduler.
+
+        With `tells_agents`, agents are told of all states: one may know of an evacuation, from an
+        entry that is lost, of which this entry has only read the end.
+        """
+        if news or tells_agents:
+            for _, link in self._peers.links(_pool_wire.ROLE_AGENT):
                 self._send_evacuations(link)
-        self._update_evacuated()
+        if news:
+            for _, link in self._peers.links(_pool_wire.ROLE_ENTRY):
+                self._send_evacuations(link)
+            self._update_evacuated()
 
     def _update_evacuated(self) -> None:
         previous, self.evacuated = self.evacuated, self._evacuations.in_force
--- a/src/daisyfall/request/_held_tasks.py
+++ b/src/daisyfall/request/_held_tasks.py
@@ -54,7 +54,7 @@
         requeued = []
         for held in expired:
             job = job_by_id.get(held.job_id)
-            task = job.task_by_name[held.name] if job else None
+            task = job.task_by_name.get(held.name) if job else None
             if task is not None and task.request_id == held.request_id and not task.agent_id:
                 task.agent_id = held.agent_id
                 job.requeue(task, avoids_agent=True)
