Split the scheduler, the pool entry and its jobs where they had outgrown a module

Change: policy/_pool.py holds the parts of one pool, policy/_evacuated_runners.py the effect of evacuations on runners, process/_incoming_links.py the links that other entries dialled, request/_job_callbacks.py the callbacks of the jobs; a placement of several tasks moved to Candidates, the encoding of requests to the placement service.

--- a/features/steps/entry_limits_steps.py
+++ b/features/steps/entry_limits_steps.py
@@ -17,7 +17,7 @@
 from daisyfall.connection import _loop_turns
 from daisyfall.policy import _entry_limits
 from daisyfall.process import _placement_service, _pool_metrics
-from daisyfall.request import _job_limits, _pool_job_manager, _pool_jobs
+from daisyfall.request import _job_callbacks, _job_limits, _pool_job_manager, _pool_jobs
 from daisyfall_standins import fault_injection
 
 TICK_S = 0.04
@@ -123,7 +123,8 @@
     set_clock(context)
     pool_work_steps.make_manager(context)
     context.withdrawn = []
-    context.manager._withdraw = context.withdrawn.append
+    callbacks = attrs.evolve(context.manager._callbacks, withdraw=context.withdrawn.append)
+    context.manager.set_callbacks(callbacks)
     submission = _pool_jobs.Submission("job1", pool_work_steps.ROUTE, "{}", steps, wait_s)
 
     async def submit():
@@ -231,12 +232,14 @@
         self.scheduler = _placement_service.PlacementService(rng, self.deliver)
         self.is_scheduled = False
         self.manager.set_callbacks(
-            place=lambda batch: self.is_scheduled and self.scheduler.submit(batch),
-            withdraw=lambda job: self.scheduler.withdraw("e", job),
-            link_to=lambda agent: AgentLink(self, agent),
-            describe=dict,
-            on_dispatch=lambda _agent: None,
-            dial=lambda _agent: None,
+            _job_callbacks.JobCallbacks(
+                place=lambda batch: self.is_scheduled and self.scheduler.submit(batch),
+                withdraw=lambda job: self.scheduler.withdraw("e", job),
+                link_to=lambda agent: AgentLink(self, agent),
+                describe=dict,
+                on_dispatch=lambda _agent: None,
+                dial=lambda _agent: None,
+            )
         )
 
     def deliver(self, _entry, decision):
--- a/features/steps/placement_explanation_steps.py
+++ b/features/steps/placement_explanation_steps.py
@@ -57,7 +57,7 @@
         queued = batch(f"q{number}", 1, cores * 1000)
         context.scheduler._batch_by_id[queued.id] = queued
         queued.latest_start = NOW + 0.5
-        context.scheduler._queue(POOL).add(queued)
+        context.scheduler._get_pool(POOL).queue.add(queued)
 
 
 @when('a job of {tasks:d} tasks of {cpu:d} cores with label "{label}" is explained')
@@ -87,13 +87,13 @@
 
 def state_of(scheduler):
     """Return what a decision could change."""
-    pool = scheduler._runners(POOL)
+    pool = scheduler._get_pool(POOL).runners
     return (
         {
             runner_id: (sorted(runner.allocation_by_task), runner.free_cpu, runner.health.state)
             for runner_id, runner in scheduler.runner_by_id.items()
         },
-        [(each.id, each.has_started) for each in scheduler._queue(POOL).batches],
+        [(each.id, each.has_started) for each in scheduler._get_pool(POOL).queue.batches],
         sorted(scheduler._batch_by_id),
         (
             pool.free_cpu,
--- a/features/steps/pool_work_steps.py
+++ b/features/steps/pool_work_steps.py
@@ -10,7 +10,7 @@
 
 from daisyfall import _clock, _pool_wire
 from daisyfall.process import _pool_metrics
-from daisyfall.request import _pool_job_manager, _pool_jobs
+from daisyfall.request import _job_callbacks, _pool_job_manager, _pool_jobs
 from daisyfall.version import _routes
 
 ROUTE = _routes.Route("r", "h", "/", "p", 0, 2, 3.0, 400.0, 0.0)
@@ -48,12 +48,14 @@
     context.link = link_to("life-1")
     context.dialled = []
     context.manager.set_callbacks(
-        place=context.placed.append,
-        withdraw=lambda _job: None,
-        link_to=lambda _agent: context.link,
-        describe=dict,
-        on_dispatch=lambda _agent: None,
-        dial=context.dialled.append,
+        _job_callbacks.JobCallbacks(
+            place=context.placed.append,
+            withdraw=lambda _job: None,
+            link_to=lambda _agent: context.link,
+            describe=dict,
+            on_dispatch=lambda _agent: None,
+            dial=context.dialled.append,
+        )
     )
     context.now = _clock.monotonic()
 
--- a/features/steps/runner_speed_steps.py
+++ b/features/steps/runner_speed_steps.py
@@ -53,7 +53,7 @@
 
 
 def pool_runners(context):
-    return context.scheduler._runners(POOL)
+    return context.scheduler._get_pool(POOL).runners
 
 
 def submit(context, tasks, *, ms=100.0, slack_ms=0.0, rack="", avoid=()):
--- a/src/daisyfall/policy/_candidates.py
+++ b/src/daisyfall/policy/_candidates.py
@@ -178,6 +178,23 @@
         factor = self._pool.remote_factor if is_far else 1.0
         return demand.expected_ms * factor / self._pool.speed(runner)
 
+    def place(
+        self, demands: list[_runner_capacity.Demand], route: str, slack_ms: float
+    ) -> tuple[dict[str, str], list[_runner_capacity.Demand]]:
+        """Place the tasks of a job that fit; return runner ids by task, and the other tasks."""
+        runner_by_task: dict[str, str] = {}
+        remaining = []
+        ends_with_ms = 0.0
+        for demand in demands:
+            runner = self.choose(demand, route, slack_ms, ends_with_ms)
+            if runner is None:
+                remaining.append(demand)
+                continue
+            ends_with_ms = max(ends_with_ms, self.run_ms(runner, demand))
+            self.allocate(runner, demand)
+            runner_by_task[demand.task] = runner.id
+        return runner_by_task, remaining
+
     def allocate(
         self, runner: _runner_capacity.RunnerCapacity, demand: _runner_capacity.Demand
     ) -> None:
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -7,15 +7,13 @@
 
 from daisyfall.policy import (
     _candidates,
+    _evacuated_runners,
     _evacuations,
-    _fair_shares,
-    _gradual_return,
     _job_queue,
-    _pool_runners,
+    _pool,
     _retry_slots,
     _runner_capacity,
     _runner_health,
-    _shortage,
 )
 
 # Outcomes that agents report when a task's resources are released.
@@ -42,9 +40,6 @@
     retry_after_s: float
 
 
-# Fraction of a pool's runners that may be ejected at the same time.
-MAX_EJECTED_FRACTION = 1 / 3
-
 # Reasons of a refusal.
 WOULD_START_LATE = "in_vain"
 EXPIRED = "overdue"
@@ -65,14 +60,9 @@
         self._rng = rng
         self._remote_factor = remote_factor
         self.runner_by_id: dict[str, _runner_capacity.RunnerCapacity] = {}
-        self._runners_by_pool: dict[str, _pool_runners.PoolRunners] = {}
-        self._queue_by_pool: dict[str, _job_queue.JobQueue] = {}
-        self._shortage_by_pool: dict[str, _shortage.Shortage] = {}
-        self._shares_by_pool: dict[str, _fair_shares.FairShares] = {}
+        self._pool_by_name: dict[str, _pool.Pool] = {}
         self._batch_by_id: dict[str, _job_queue.TaskBatch] = {}
-        self._evacuated: frozenset[str] = frozenset()
-        self._returns = _gradual_return.GradualReturn()
-        self._share_by_data_centre: dict[str, float] = {}
+        self._evacuations = _evacuated_runners.EvacuatedRunners()
 
     @property
     def queued(self) -> int:
@@ -84,7 +74,7 @@
         known = self.runner_by_id.setdefault(runner.id, runner)
         if known.pool != runner.pool:
             # An agent whose runner has not announced itself has reported no pool.
-            self._runners(known.pool).remove(known)
+            self._get_pool(known.pool).runners.remove(known)
             known.pool = runner.pool
         known.labels, known.is_open = runner.labels, runner.is_open
         known.leaves_at = runner.leaves_at
@@ -92,7 +82,7 @@
             known.incarnation = runner.incarnation
             known.health = _runner_health.RunnerHealth()
             known.largest = runner.largest
-            self._runners(known.pool).speeds.update(known.id, known.kind, 1.0, 0)
+            self._get_pool(known.pool).runners.speeds.update(known.id, known.kind, 1.0, 0)
         known.resize(runner.cpu, runner.memory_mb, runner.accelerators)
         known.data_centre = runner.data_centre
         self._update_evacuation(known)
@@ -102,12 +92,7 @@
 
         Runners of a data centre that is no longer among them return gradually.
         """
-        for data_centre in data_centres - self._evacuated:
-            self._returns.evacuate(data_centre, now)
-        for data_centre in self._evacuated - data_centres:
-            self._returns.take_back(data_centre, now)
-        self._evacuated = data_centres
-        self._share_by_data_centre = self._returns.share_by_data_centre(now)
+        self._evacuations.set(data_centres, now)
         for runner in self.runner_by_id.values():
             self._update_evacuation(runner)
         refusals = [
@@ -125,7 +110,7 @@
         if runner is not None:
             runner.is_open = False
             runner.has_report = False
-            self._runners(runner.pool).update(runner)
+            self._get_pool(runner.pool).runners.update(runner)
 
     def sync_allocations(
         self, runner_id: str, allocation_by_task: dict[str, _runner_capacity.Allocation], now: float
@@ -134,7 +119,7 @@
         runner = self.runner_by_id.get(runner_id)
         if runner is not None:
             runner.replace(allocation_by_task, now)
-            self._runners(runner.pool).update(runner)
+            self._get_pool(runner.pool).runners.update(runner)
 
     def record_task_end(
         self,
@@ -155,20 +140,19 @@
             return []
         allocation = runner.release(task)
         placed_at = allocation.allocated_at if allocation is not None else now
-        health = runner.health
+        health, pool = runner.health, self._get_pool(runner.pool)
         if outcome == DONE and slowdown >= _runner_health.SLOW_RUNNER_SLOWNESS:
             health.record_slow_task(placed_at, now)
         elif outcome == DONE:
             health.record_success(placed_at)
         elif outcome == FAILED:
-            health.record_failure(job_id, now, may_eject=self._may_eject(runner.pool))
+            health.record_failure(job_id, now, may_eject=pool.may_eject())
         elif outcome in RUNNER_FAULTS:
-            health.record_fault(now, may_eject=self._may_eject(runner.pool))
-        self._runners(runner.pool).update(runner)
-        if not len(self._queue(runner.pool)):
+            health.record_fault(now, may_eject=pool.may_eject())
+        pool.runners.update(runner)
+        if not len(pool.queue):
             return []
-        candidates = self._candidate_runners(runner.pool, now, runner)
-        return self._place(runner.pool, candidates, now)
+        return self._place(runner.pool, self.candidates(runner.pool, now, runner), now)
 
     def update_speed(
         self, runner_id: str, slowness: float, now: float, *, speed: float = 1.0, samples: int = 0
@@ -180,29 +164,27 @@
         """
         runner = self.runner_by_id.get(runner_id)
         if runner is not None:
-            runners = self._runners(runner.pool)
-            runners.speeds.update(runner_id, runner.kind, speed, samples)
+            pool = self._get_pool(runner.pool)
+            pool.runners.speeds.update(runner_id, runner.kind, speed, samples)
             is_slow = slowness >= _runner_health.SLOW_RUNNER_SLOWNESS
-            may_eject = self._may_eject(runner.pool)
-            may_eject = may_eject and (not is_slow or runners.has_fast_others(runner))
+            may_eject = is_slow and pool.may_eject() and pool.runners.has_fast_others(runner)
             runner.health.update_slowness(slowness, now, may_eject=may_eject)
-            runners.update(runner)
+            pool.runners.update(runner)
 
     def submit(self, batch: _job_queue.TaskBatch, now: float) -> list[Placement | Refusal]:
         """Queue the tasks of a job; return the decisions that could be made at once."""
         if batch.id in self._batch_by_id or not batch.demands:
             return []
-        confinement = self._runners(batch.pool).confinement
-        confinement.record_work(batch.route, batch.core_seconds, now)
-        shares = self._shares(batch.pool)
-        queue = self._queue(batch.pool)
-        batch.is_favoured = bool(len(queue)) and shares.is_under_share(batch, now)
-        shares.record_request(batch, now)
-        self._runners(batch.pool).record_demands(batch.demands, now)
+        pool = self._get_pool(batch.pool)
+        queue = pool.queue
+        pool.runners.confinement.record_work(batch.route, batch.core_seconds, now)
+        batch.is_favoured = bool(len(queue)) and pool.shares.is_under_share(batch, now)
+        pool.shares.record_request(batch, now)
+        pool.runners.record_demands(batch.demands, now)
         # A job that has waited for another scheduling entry may be late already.
         is_late = now > batch.latest_start and batch.may_become_late(now)
-        batch.is_late = is_late and self._runners(batch.pool).is_recovering()
-        candidates = self._candidate_runners(batch.pool, now)
+        batch.is_late = is_late and pool.runners.is_recovering()
+        candidates = self.candidates(batch.pool, now)
         refusal = self._refuse_on_arrival(batch, candidates, now)
         if refusal is not None:
             return [refusal]
@@ -216,15 +198,15 @@
             if batch.id not in self._batch_by_id:
                 queue.add(batch)
                 self._batch_by_id[batch.id] = batch
-            self._shortage(batch.pool).record_queued(batch)
+            self._get_pool(batch.pool).shortage.record_queued(batch)
             decisions += self._refuse_displaced(batch.pool, now)
         return decisions
 
     def confine(self, route: str, now: float) -> None:
         """Keep the tasks of a route on a share of its pool for a while."""
-        for runners in self._runners_by_pool.values():
-            runners.confinement.confine(route, now)
-            runners.advance(now)
+        for pool in self._pool_by_name.values():
+            pool.runners.confinement.confine(route, now)
+            pool.runners.advance(now)
 
     def withdraw(self, entry_id: str, job_id: str) -> None:
         """Remove the queued tasks of a job."""
@@ -241,104 +223,67 @@
     def advance(self, now: float) -> list[Placement | Refusal]:
         """Run a scheduling round for all pools: place what fits and refuse what has expired."""
         decisions: list[Placement | Refusal] = []
-        self._advance_returns(now)
-        for runners in self._runners_by_pool.values():
-            runners.advance(now)
-        for pool, queue in self._queue_by_pool.items():
-            if len(queue):
+        if self._evacuations.advance(now):
+            for runner in self.runner_by_id.values():
+                self._update_evacuation(runner)
+        for name, pool in self._pool_by_name.items():
+            pool.runners.advance(now)
+            if len(pool.queue):
                 # Jobs that have become late make room for those that can still be in time.
-                decisions += self._refuse_expired(pool, now)
-                decisions += self._place(pool, self._candidate_runners(pool, now), now)
-                decisions += self._refuse_displaced(pool, now)
-        for shortage in self._shortage_by_pool.values():
-            shortage.advance(now)
+                decisions += self._refuse_expired(name, now)
+                decisions += self._place(name, self.candidates(name, now), now)
+                decisions += self._refuse_displaced(name, now)
+            pool.shortage.advance(now)
         return decisions
 
     def copy_of_pool(self, pool: str) -> "Scheduler":
         """Return a scheduler with a copy of one pool, on which a decision can be tried."""
         other = Scheduler(copy.copy(self._rng), self._remote_factor)
-        other._runners_by_pool[pool] = self._runners(pool).copy()
-        other.runner_by_id = other._runners_by_pool[pool].runner_by_id
+        trial = other._pool_by_name[pool] = self._get_pool(pool).copy()
+        other.runner_by_id = trial.runners.runner_by_id
         other._batch_by_id = dict(self._batch_by_id)
-        for queued in self._queue(pool).batches:
+        for queued in self._get_pool(pool).queue.batches:
             batch = copy.copy(queued)
             other._batch_by_id[batch.id] = batch
-            other._queue(pool).add(batch)
-        other._shortage_by_pool[pool] = self._shortage(pool).copy(
-            other._runners(pool), other._queue(pool)
-        )
-        other._shares_by_pool[pool] = copy.deepcopy(self._shares(pool))
-        other._evacuated = self._evacuated
-        other._returns = copy.deepcopy(self._returns)
-        other._share_by_data_centre = self._share_by_data_centre
+            trial.queue.add(batch)
+        other._evacuations = copy.deepcopy(self._evacuations)
         return other
 
-    def candidates(self, pool: str, now: float) -> _candidates.Candidates:
-        """Return the runners of a pool that may get a task now."""
-        return self._candidate_runners(pool, now)
+    def candidates(
+        self, pool: str, now: float, only: _runner_capacity.RunnerCapacity | None = None
+    ) -> _candidates.Candidates:
+        """Return the runners of a pool that may get a task now, or `only` one of them."""
+        return _candidates.Candidates(self._get_pool(pool).runners, now, only)
 
     def work_ahead(self, batch: _job_queue.TaskBatch) -> float:
         """Return the core seconds that are queued before a batch on the runners of its route."""
-        bulkhead_of = self._runners(batch.pool).confinement.bulkhead
+        pool = self._get_pool(batch.pool)
+        bulkhead_of = pool.runners.confinement.bulkhead
         bulkhead = bulkhead_of(batch.route)
-        return self._queue(batch.pool).work_ahead(
-            batch, lambda queued: bulkhead_of(queued.route) == bulkhead
-        )
+        return pool.queue.work_ahead(batch, lambda each: bulkhead_of(each.route) == bulkhead)
 
     def refused_by_short_pool(self) -> dict[str, int]:
         """Return, for each pool in shortage, the jobs refused since it began."""
         return {
-            pool: shortage.refused
-            for pool, shortage in self._shortage_by_pool.items()
-            if shortage.is_short
+            name: pool.shortage.refused
+            for name, pool in self._pool_by_name.items()
+            if pool.shortage.is_short
         }
 
     def cores(self, pool: str, route: str = "") -> float:
         """Return the cores of the healthy runners that accept tasks, or tasks of a route."""
-        return self._runners(pool).cpu_for(route) / 1000
-
-    def _queue(self, pool: str) -> _job_queue.JobQueue:
-        queue = self._queue_by_pool.get(pool)
-        if queue is None:
-            queue = self._queue_by_pool[pool] = _job_queue.JobQueue()
-        return queue
-
-    def _shortage(self, pool: str) -> _shortage.Shortage:
-        shortage = self._shortage_by_pool.get(pool)
-        if shortage is None:
-            shortage = _shortage.Shortage(self._runners(pool), self._queue(pool))
-            self._shortage_by_pool[pool] = shortage
-        return shortage
-
-    def _shares(self, pool: str) -> _fair_shares.FairShares:
-        shares = self._shares_by_pool.get(pool)
-        if shares is None:
-            shares = self._shares_by_pool[pool] = _fair_shares.FairShares()
-        return shares
-
-    def _runners(self, pool: str) -> _pool_runners.PoolRunners:
-        runners = self._runners_by_pool.get(pool)
-        if runners is None:
-            runners = self._runners_by_pool[pool] = _pool_runners.PoolRunners(self._remote_factor)
-        return runners
-
-    def _may_eject(self, pool: str) -> bool:
-        """Return whether one more runner may be ejected.
-
-        Failures on most runners at once indicate a fault of the tasks, not of the runners.
-        """
-        runners = self._runners(pool)
-        return runners.ejected < max(1, int(len(runners) * MAX_EJECTED_FRACTION))
+        return self._get_pool(pool).runners.cpu_for(route) / 1000
 
-    def _candidate_runners(
-        self, pool: str, now: float, only: _runner_capacity.RunnerCapacity | None = None
-    ) -> _candidates.Candidates:
-        return _candidates.Candidates(self._runners(pool), now, only)
+    def _get_pool(self, name: str) -> _pool.Pool:
+        pool = self._pool_by_name.get(name)
+        if pool is None:
+            pool = self._pool_by_name[name] = _pool.new_pool(self._remote_factor)
+        return pool
 
     def _refuse_on_arrival(
         self, batch: _job_queue.TaskBatch, candidates: _candidates.Candidates, now: float
     ) -> Refusal | None:
-        runners = self._runners(batch.pool).runner_by_id.values()
+        runners = self._get_pool(batch.pool).runners.runner_by_id.values()
         if runners and not all(
             any(runner.may_ever_fit(demand) for runner in runners) for demand in batch.demands
         ):
@@ -347,36 +292,24 @@
             return self._evacuation_refusal(batch)
         if self.queued >= _job_queue.MAX_QUEUED_BATCHES:
             return self._refusal(batch, QUEUE_FULL, now)
-        if not self._shortage(batch.pool).may_wait(batch, candidates, now):
+        if not self._get_pool(batch.pool).shortage.may_wait(batch, candidates, now):
             return self._refusal(batch, WOULD_START_LATE, now)
         return None
 
     def _refusal(self, batch: _job_queue.TaskBatch, reason: str, now: float) -> Refusal:
-        shortage = self._shortage(batch.pool)
+        shortage = self._get_pool(batch.pool).shortage
         shortage.record_refusal(now)
         cores = self.cores(batch.pool, batch.route)
         return Refusal(batch, reason, shortage.book_retry(batch, cores, self._rng.random(), now))
 
     def _update_evacuation(self, runner: _runner_capacity.RunnerCapacity) -> None:
-        is_evacuated = runner.data_centre in self._evacuated
-        share = self._share_by_data_centre.get(runner.data_centre, 1.0)
-        runner.set_evacuation(is_evacuated=is_evacuated, share=share)
-        self._runners(runner.pool).update(runner)
-
-    def _advance_returns(self, now: float) -> None:
-        """Bring the capacity of runners that return from an evacuation up to date."""
-        previous, self._share_by_data_centre = (
-            self._share_by_data_centre,
-            self._returns.share_by_data_centre(now),
-        )
-        if self._share_by_data_centre != previous:
-            for runner in self.runner_by_id.values():
-                self._update_evacuation(runner)
+        self._evacuations.apply(runner)
+        self._get_pool(runner.pool).runners.update(runner)
 
     def _needs_evacuated_runner(self, batch: _job_queue.TaskBatch) -> bool:
         """Return whether only runners of evacuated data centres could run a task of a batch."""
-        runners = self._runners(batch.pool)
-        return bool(self._evacuated) and any(map(runners.fits_evacuated_only, batch.demands))
+        runners = self._get_pool(batch.pool).runners
+        return bool(self._evacuations) and any(map(runners.fits_evacuated_only, batch.demands))
 
     def _evacuation_refusal(self, batch: _job_queue.TaskBatch) -> Refusal:
         """Return a refusal with a late retry, as the operator decides when to take back."""
@@ -386,7 +319,7 @@
 
     def _place(self, pool: str, candidates: _candidates.Candidates, now: float) -> list[Placement]:
         decisions = []
-        for batch in self._queue(pool).placeable(candidates):
+        for batch in self._get_pool(pool).queue.placeable(candidates):
             decisions += self._place_batch(batch, candidates, now)
         return decisions
 
@@ -394,24 +327,27 @@
         self, batch: _job_queue.TaskBatch, candidates: _candidates.Candidates, now: float
     ) -> list[Placement]:
         """Place the tasks of a batch that fit; remove it from the queue if none is left."""
-        if not self._shortage(batch.pool).may_start(batch, now):
+        if not self._get_pool(batch.pool).shortage.may_start(batch, now):
             return []
         cpu, core_seconds, was_late = batch.cpu, batch.core_seconds, batch.is_late
-        runner_by_task, remaining = _place_tasks(batch, candidates)
+        slack_ms = (batch.latest_start - now) * 1000
+        runner_by_task, remaining = candidates.place(batch.demands, batch.route, slack_ms)
         if not runner_by_task:
             return []
         self._record_start(batch, remaining)
         cpu, core_seconds = cpu - batch.cpu, core_seconds - batch.core_seconds
         if not was_late:
-            self._shortage(batch.pool).record_placement(batch.priority, cpu, core_seconds, now)
-        self._shares(batch.pool).record_placement(batch, core_seconds, now)
+            self._get_pool(batch.pool).shortage.record_placement(
+                batch.priority, cpu, core_seconds, now
+            )
+        self._get_pool(batch.pool).shares.record_placement(batch, core_seconds, now)
         return [Placement(batch, runner_by_task)]
 
     def _record_start(
         self, batch: _job_queue.TaskBatch, remaining: list[_runner_capacity.Demand]
     ) -> None:
         """Keep the tasks of a started job that wait, ahead of the jobs of its priority."""
-        queue = self._queue(batch.pool)
+        queue = self._get_pool(batch.pool).queue
         is_queued = batch.id in self._batch_by_id
         if is_queued and batch.has_started and remaining:
             queue.shrink(batch, remaining)
@@ -419,7 +355,7 @@
         if is_queued:
             del self._batch_by_id[batch.id]
             if not batch.has_started:
-                shortage = self._shortage(batch.pool)
+                shortage = self._get_pool(batch.pool).shortage
                 shortage.record_end_of_wait(batch.priority, is_refused=False)
             queue.remove(batch)
         batch.set_demands(remaining)
@@ -430,43 +366,25 @@
             queue.add(batch)
             self._batch_by_id[batch.id] = batch
 
-    def _refuse_expired(self, pool: str, now: float) -> list[Refusal]:
-        is_recovering = self._runners(pool).is_recovering()
-        expired = self._queue(pool).pop_expired(now, keeps_late=is_recovering)
-        for batch in expired:
-            del self._batch_by_id[batch.id]
-            self._shortage(pool).record_end_of_wait(batch.priority, is_refused=True)
-            self._shares(pool).record_end_of_wait(batch, batch.core_seconds, now)
-        return [self._refusal(batch, EXPIRED, now) for batch in expired]
+    def _refuse_expired(self, name: str, now: float) -> list[Refusal]:
+        pool = self._get_pool(name)
+        expired = pool.queue.pop_expired(now, keeps_late=pool.runners.is_recovering())
+        return self._refuse_waiting(pool, expired, EXPIRED, now)
 
-    def _refuse_displaced(self, pool: str, now: float) -> list[Refusal]:
+    def _refuse_displaced(self, name: str, now: float) -> list[Refusal]:
         """Refuse the queued jobs that can't start in time behind the jobs ahead of them."""
-        displaced = self._shortage(pool).review(now)
-        for batch in displaced:
+        pool = self._get_pool(name)
+        return self._refuse_waiting(pool, pool.shortage.review(now), DISPLACED, now)
+
+    def _refuse_waiting(
+        self, pool: _pool.Pool, batches: list[_job_queue.TaskBatch], reason: str, now: float
+    ) -> list[Refusal]:
+        for batch in batches:
             self._remove(batch)
-            self._shortage(pool).record_end_of_wait(batch.priority, is_refused=True)
-            self._shares(pool).record_end_of_wait(batch, batch.core_seconds, now)
-        return [self._refusal(batch, DISPLACED, now) for batch in displaced]
+            pool.shortage.record_end_of_wait(batch.priority, is_refused=True)
+            pool.shares.record_end_of_wait(batch, batch.core_seconds, now)
+        return [self._refusal(batch, reason, now) for batch in batches]
 
     def _remove(self, batch: _job_queue.TaskBatch) -> None:
         self._batch_by_id.pop(batch.id, None)
-        self._queue(batch.pool).remove(batch)
-
-
-def _place_tasks(
-    batch: _job_queue.TaskBatch, candidates: _candidates.Candidates
-) -> tuple[dict[str, str], list[_runner_capacity.Demand]]:
-    """Place as many tasks of a batch as fit; return runner ids by task, and the other tasks."""
-    runner_by_task: dict[str, str] = {}
-    remaining = []
-    slack_ms = (batch.latest_start - candidates.now) * 1000
-    ends_with_ms = 0.0
-    for demand in batch.demands:
-        runner = candidates.choose(demand, batch.route, slack_ms, ends_with_ms)
-        if runner is None:
-            remaining.append(demand)
-            continue
-        ends_with_ms = max(ends_with_ms, candidates.run_ms(runner, demand))
-        candidates.allocate(runner, demand)
-        runner_by_task[demand.task] = runner.id
-    return runner_by_task, remaining
+        self._get_pool(batch.pool).queue.remove(batch)
--- a/src/daisyfall/process/_placement_service.py
+++ b/src/daisyfall/process/_placement_service.py
@@ -236,6 +236,23 @@
             self._deliver(batch.entry_id, message)
 
 
+def encode_request(batch: _job_queue.TaskBatch, now: float) -> _pool_wire.PlaceTasks:
+    """Return the request by which another entry is asked to place a batch."""
+    return _pool_wire.PlaceTasks(
+        batch.id,
+        batch.job_id,
+        batch.pool,
+        batch.priority,
+        round((batch.latest_start - now) * 1000),
+        round((batch.start_deadline - now) * 1000),
+        batch.has_started,
+        [list(attrs.astuple(demand)) for demand in batch.demands],
+        round((batch.late_deadline - now) * 1000),
+        batch.route,
+        batch.served,
+    )
+
+
 def _demand(row: list) -> _runner_capacity.Demand:
     demand = _runner_capacity.Demand(*row)
     return attrs.evolve(demand, avoid=tuple(demand.avoid))
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -5,7 +5,6 @@
 import random
 from collections.abc import Awaitable, Callable
 
-import attrs
 import loguru
 
 from daisyfall import _clock, _pool_wire
@@ -13,6 +12,7 @@
 from daisyfall.policy import _job_queue, _rotation
 from daisyfall.process import (
     _entry_heartbeats,
+    _incoming_links,
     _leadership,
     _pause_detector,
     _placement_preview,
@@ -23,7 +23,7 @@
     _shared_state,
     _ticker,
 )
-from daisyfall.request import _job_limits, _pool_job_manager, _pool_jobs
+from daisyfall.request import _job_callbacks, _job_limits, _pool_job_manager, _pool_jobs
 from daisyfall.version import _routes
 
 TICK_S = _job_limits.CHECK_INTERVAL_S
@@ -75,7 +75,7 @@
             describe=self._describe_state,
             has_tasks_at=self._jobs.has_tasks_at,
         )
-        self._jobs.set_callbacks(
+        callbacks = _job_callbacks.JobCallbacks(
             place=self._place,
             withdraw=lambda job_id: self._withdraw(job_id, self._leadership.leader_id),
             link_to=self.peers.link_by_id.get,
@@ -86,6 +86,7 @@
             on_dispatch=self._heartbeats.update_agent,
             dial=self.peers.redial,
         )
+        self._jobs.set_callbacks(callbacks)
         metrics.set_state_source(self._state_quantities)
         self._turns = _loop_turns.LoopTurns()
         self._requesting_again: asyncio.Task | None = None
@@ -96,6 +97,16 @@
         self._rotation = _rotation.Rotation(_clock.monotonic())
         self._timing_updated_at = float("-inf")
         self._pause_detector = _pause_detector.PauseDetector(self._reset_links)
+        self._incoming = _incoming_links.IncomingLinks(
+            link_by_id=self._incoming_by_id,
+            jobs=self._jobs,
+            placement=self._placement,
+            leadership=self._leadership,
+            heartbeats=self._heartbeats,
+            shared=self.shared,
+            peers=self.peers,
+            check_pause=self._pause_detector.check,
+        )
 
     async def run(self, stop: asyncio.Event, close_callers: Callable[[], Awaitable]) -> None:
         """Serve until `stop` is set, then finish the accepted jobs.
@@ -105,7 +116,7 @@
         """
         settings = self.settings
         server = _link.listen(
-            self._serve_incoming,
+            self._incoming.serve,
             lambda: settings.handshake(_pool_wire.ROLE_ENTRY, []),
             settings.address,
             settings.port,
@@ -261,21 +272,7 @@
             batch.data_centre = self.settings.data_centre
             self._placement.submit(batch)
             return
-        link.send(
-            _pool_wire.PlaceTasks(
-                batch.id,
-                batch.job_id,
-                batch.pool,
-                batch.priority,
-                round((batch.latest_start - now) * 1000),
-                round((batch.start_deadline - now) * 1000),
-                batch.has_started,
-                [list(attrs.astuple(demand)) for demand in batch.demands],
-                round((batch.late_deadline - now) * 1000),
-                batch.route,
-                batch.served,
-            )
-        )
+        link.send(_placement_service.encode_request(batch, now))
 
     def _deliver(self, entry_id: str, decision: _placement_service.Decision) -> None:
         """Deliver a decision of this entry's scheduler to the entry that requested it."""
@@ -374,48 +371,6 @@
             self._leadership.remove_peer(node.id)
             self._update_leader(now)
 
-    # Links that other entries dialled.
-
-    async def _serve_incoming(self, link: _link.Link) -> None:
-        peer_id = link.peer.node_id
-        previous = self._incoming_by_id.get(peer_id)
-        if previous is not None:
-            previous.abort("the entry opened a new link")
-        self._incoming_by_id[peer_id] = link
-        try:
-            self.shared.send_to_entry(link)
-            self._heartbeats.set_incoming_timing(peer_id, link)
-            self.peers.redial(peer_id)
-            await link.serve(
-                lambda message: self._handle_incoming(peer_id, link, message),
-                lambda: self._heartbeats.for_incoming(peer_id, link),
-            )
-        finally:
-            log = loguru.logger.bind(node=peer_id, reason=link.close_reason)
-            log.info("link from an entry closed")
-            if self._incoming_by_id.get(peer_id) is link:
-                del self._incoming_by_id[peer_id]
-                self._leadership.set_follower(peer_id, is_follower=False)
-                self._placement.withdraw_entry(peer_id)
-
-    def _handle_incoming(self, peer_id: str, link: _link.Link, message) -> None:
-        self._pause_detector.check()
-        if link.is_closed:
-            return
-        match message:
-            case _pool_wire.PlaceTasks():
-                self._leadership.record_request(_clock.monotonic())
-                self._placement.submit_request(peer_id, message, link.peer.data_centre)
-            case _pool_wire.CancelPlacement():
-                self._placement.withdraw(peer_id, message.job_id)
-            case _pool_wire.CancelJob():
-                self._jobs.cancel(message.job_id)
-            case _pool_wire.PeerHeartbeat():
-                if self._leadership.set_follower(peer_id, is_follower=message.follows_receiver):
-                    self._heartbeats.set_incoming_timing(peer_id, link)
-            case _:
-                self.shared.handle(message)
-
     # Heartbeats.
 
     def heartbeat(self, node: _pool_peers.Node) -> _pool_wire.Heartbeat | _pool_wire.PeerHeartbeat:
--- a/src/daisyfall/request/_pool_job_manager.py
+++ b/src/daisyfall/request/_pool_job_manager.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 import loguru
 
@@ -14,6 +13,7 @@
     _dispatched_tasks,
     _estimates,
     _held_tasks,
+    _job_callbacks,
     _job_limits,
     _pending_answers,
     _pool_jobs,
@@ -34,11 +34,7 @@
 class PoolJobManager:
     """Tracks the jobs that an entry has accepted until they are answered.
 
-    Callbacks of `set_callbacks`: `place` submits a placement request to the scheduling entry,
-    `withdraw` cancels a job's pending placement requests there, `link_to` returns the link to
-    an agent, `describe` returns the fields of the entry's state to log with a job, `on_dispatch`
-    is called with the id of the agent before a task is sent to it, `dial` with that of an agent
-    for which a task waits. Nothing is sent to the agents of the data centres in `evacuated`.
+    Nothing is sent to the agents of the data centres in `evacuated`.
     """
 
     def __init__(
@@ -63,23 +59,9 @@
         self.limits = _job_limits.JobLimits(rng, _clock.monotonic())
         self.evacuated: frozenset[str] = frozenset()
 
-    def set_callbacks(
-        self,
-        *,
-        place: Callable[[_job_queue.TaskBatch], None],
-        withdraw: Callable[[str], None],
-        link_to: Callable[[str], _link.Link | None],
-        describe: Callable[[], dict],
-        on_dispatch: Callable[[str], None],
-        dial: Callable[[str], None],
-    ) -> None:
+    def set_callbacks(self, callbacks: _job_callbacks.JobCallbacks) -> None:
         """Set the callbacks into the entry; called before the first job."""
-        self._place = place
-        self._withdraw = withdraw
-        self._link_to = link_to
-        self._describe = describe
-        self._on_dispatch = on_dispatch
-        self._dial = dial
+        self._callbacks = callbacks
 
     def __len__(self) -> int:
         return len(self._job_by_id)
@@ -107,7 +89,7 @@
         """Run a job in another pool, as its route has moved since it was accepted."""
         log = loguru.logger.bind(job=job.id, route=submission.route.name)
         log.bind(pool=submission.route.pool).info("job moves to another pool")
-        self._withdraw(job.id)
+        self._callbacks.withdraw(job.id)
         job.move(submission)
         self._request_placement(job, job.unblock())
 
@@ -216,7 +198,7 @@
             return
         if job.requested_at > changed_at:
             # A part of its tasks was requested from the new scheduling entry meanwhile.
-            self._withdraw(job.id)
+            self._callbacks.withdraw(job.id)
         self._request_placement(job, job.waiting())
 
     def give_up_all(self) -> None:
@@ -271,7 +253,7 @@
             expected_ms=[round(step_ms) for step_ms in expected_ms_by_step.values()],
             start_within_ms=round((job.latest_start - now) * 1000),
             wait_ms=round(submission.wait_s * 1000),
-            **self._describe(),
+            **self._callbacks.describe(),
         ).info("job taken")
         refused = self.limits.add(job, now)
         if refused is not None:
@@ -306,7 +288,7 @@
             self.limits.record_request(job, now)
             batch = job.request_placement(tasks, self._entry_id)
             batch.served = self._served.lately(batch.route, now)
-            self._place(batch)
+            self._callbacks.place(batch)
 
     def _dispatch(self, job: _pool_jobs.Job, placed: _pool_wire.TasksPlaced) -> None:
         if placed.request_id not in job.request_ids:
@@ -319,7 +301,7 @@
             task = job.task_by_name.get(name)
             if task is None or task.phase is not _pool_jobs.Phase.WAITING:
                 continue
-            link = self._link_to(agent_id)
+            link = self._callbacks.link_to(agent_id)
             is_evacuated = link is not None and link.peer.data_centre in self.evacuated
             if is_evacuated:
                 self._metrics.count_retries(_evacuations.EVACUATED)
@@ -327,7 +309,7 @@
                 is_lost = link is None and agent_id in self._disconnected_at_by_agent
                 can_hold = not (is_lost or is_evacuated)
                 if can_hold and self._held.hold(job, task, agent_id, now):
-                    self._dial(agent_id)
+                    self._callbacks.dial(agent_id)
                     continue
                 task.agent_id = agent_id
                 job.requeue(task, avoids_agent=True)
@@ -340,7 +322,7 @@
             self._dispatched.add(job, task)
             core_seconds = run_request.cpu * task.expected_ms / 1e6
             self._served.add(run_request.route, core_seconds, now)
-            self._on_dispatch(agent_id)
+            self._callbacks.on_dispatch(agent_id)
             task.agent_incarnation = link.peer.incarnation
             agent_by_run[f"{name}/{run_request.run}"] = agent_id
             link.send(run_request)
@@ -404,11 +386,11 @@
         self.limits.remove(job)
         for task in job.dispatched():
             self._dispatched.remove(task)
-            link = self._link_to(task.agent_id)
+            link = self._callbacks.link_to(task.agent_id)
             if link is not None:
                 link.send(_pool_wire.StopTask(task.name, task.run, answer.reason or "job ended"))
         if job.waiting():
-            self._withdraw(job.id)
+            self._callbacks.withdraw(job.id)
         elapsed_s = _clock.monotonic() - job.arrived_at
         self._metrics.observe_answer(answer.outcome.value, elapsed_s)
         if answer.reason:
