--- a/src/daisyfall/connection/_link.py
+++ b/src/daisyfall/connection/_link.py
@@ -146,7 +146,7 @@
         self._socket.on_writable = self._flush
         try:
             self._socket.deliver_to(self._receive)
-            await self._socket.closed.wait()
+            await self._socket.closed_event.wait()
             self.abort(self._socket.close_reason)
         finally:
             self.abort("the handler ended")
--- a/src/daisyfall/connection/_message_socket.py
+++ b/src/daisyfall/connection/_message_socket.py
@@ -38,7 +38,7 @@
         self.is_writable = True
         self.on_writable: Callable[[], None] = lambda: None
         self.close_reason = ""
-        self.closed = asyncio.Event()
+        self.closed_event = asyncio.Event()
         self._websocket = websocket
         self._on_connected = on_connected
         self._on_message: Callable[[bytes | str], None] | None = None
@@ -48,15 +48,15 @@
 
     async def wait_open(self) -> None:
         """Wait until the websocket is open; raise `ConnectionError` if it has closed."""
-        while self._websocket.state is protocol.CONNECTING and not self.closed.is_set():
+        while self._websocket.state is protocol.CONNECTING and not self.closed_event.is_set():
             await self._wait_for_change()
-        if self._websocket.state is not protocol.OPEN or self.closed.is_set():
+        if self._websocket.state is not protocol.OPEN or self.closed_event.is_set():
             raise ConnectionError(self.close_reason or "no websocket")
 
     async def receive(self) -> bytes | str:
         """Return the next message; raise `ConnectionError` if there is none any more."""
         while not self._received:
-            if self.closed.is_set():
+            if self.closed_event.is_set():
                 raise ConnectionError(self.close_reason)
             await self._wait_for_change()
         return self._received.pop(0)
@@ -132,7 +132,7 @@
         """See `asyncio.Protocol`."""
         lost = f"connection lost: {error}" if error else "closed by the peer"
         self.close_reason = self.close_reason or lost
-        self.closed.set()
+        self.closed_event.set()
         self._changed.set()
 
     def _handle_frame(self, frame: frames.Frame) -> None:
--- a/src/daisyfall/process/_dial_order.py
+++ b/src/daisyfall/process/_dial_order.py
@@ -45,17 +45,17 @@
             await granted
         except asyncio.CancelledError:
             if granted.done() and not granted.cancelled():
-                self._end()
+                self._release()
             raise
-        timer = loop.call_later(MAX_COUNTED_S, self._end)
+        timer = loop.call_later(MAX_COUNTED_S, self._release)
         try:
             yield
         finally:
             if loop.time() < timer.when():
                 timer.cancel()
-                self._end()
+                self._release()
 
-    def _end(self) -> None:
+    def _release(self) -> None:
         self._running -= 1
         self._grant()
 
--- a/src/daisyfall/process/_pool_peers.py
+++ b/src/daisyfall/process/_pool_peers.py
@@ -80,7 +80,7 @@
         new_nodes = [
             node for node in nodes if node.id != self._own_id and node.id not in self.node_by_id
         ]
-        # The first dials begin without waiting for a turn.
+        # In this order, so that the entries get the first turns.
         for node in sorted(new_nodes, key=_urgency):
             self.node_by_id[node.id] = node
             self._start_dialling(node, _urgency(node))
