Let jobs that are wider than their pool wait, and count no slow runners as room

Cause, found by the review: a job of more tasks than its pool runs at once was refused whenever anything ran; runners that are excluded as slow counted as room, so that jobs were accepted and expired. Change: a job needs at most what the pool offers; excluded runners are left out. The scenario of a job whose last task would start too late had such a wide job (4 tasks on a pool of one core); it now has one that the pool could run at once, with the same check, and a scenario for the wide job is new.

--- a/features/pool_policy.feature
+++ b/features/pool_policy.feature
@@ -226,10 +226,12 @@
 
   # Its first tasks would take the place of others, and it would be late nevertheless.
   Scenario: a job of which only the last task would start too late is refused on arrival
-    Given a scheduler with runners r1:1000
-    And job a of 1 tasks of 1000 arrives
-    When job b of 4 tasks of 1000 arrives with its latest start in 0.35 s
-    Then job b is refused as in_vain
+    Given a scheduler with runners r1:2000
+    And job a of 2 tasks of 1000 arrives
+    When job e of 1 tasks of 1000 arrives with its latest start in 0.14 s
+    And job b of 2 tasks of 1000 arrives with its latest start in 0.15 s
+    Then job e is not refused
+    And job b is refused as in_vain
 
   Scenario: a job is refused when its latest start passes while it is queued
     Given a scheduler with runners r1:1000
--- a/features/shortage.feature
+++ b/features/shortage.feature
@@ -64,6 +64,16 @@
     When 0.03 s pass
     Then job c is refused as overdue
 
+  # A job of more tasks than the pool can run at once could otherwise never start beside others.
+  Scenario: a job that is wider than its pool may wait while something runs
+    Given a scheduler with runners r1:2000
+    And job a of 1 tasks of 1000 arrives
+    When job c of 5 tasks of 1000 arrives with its latest start in 0.5 s
+    Then job c is not refused
+    When 0.12 s pass
+    And the task of job a ends
+    Then job c is placed
+
   # It would wait to its latest start, and its caller would lose the time for another attempt.
   Scenario: a queued job that more urgent jobs push past its latest start is refused at once
     Given a scheduler with runners r1:1000
--- a/src/daisyfall/policy/_pool_runners.py
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -59,6 +59,8 @@
         # CPU in thousandths of a core of speed 1.0.
         self.healthy_cpu = 0
         self.free_cpu = 0
+        # CPU that all runners in use offer, whatever their speed.
+        self.offered_cpu = 0
         self._returned_cpu = 0
         self._previous_returned_cpu = 0
         self._interval_started_at = float("-inf")
@@ -66,6 +68,7 @@
         self._order = _runner_order.RunnerOrder()
         self._keys_by_id: dict[str, _runner_order.Keys | None] = {}
         self._weighted_cpu_by_id: dict[str, tuple[int, int]] = {}
+        self._offered_cpu_by_id: dict[str, int] = {}
         # Available runners that are ejected, or whose probe is still running.
         self._unhealthy_by_id: dict[str, _runner_capacity.RunnerCapacity] = {}
         self._ejected_ids: set[str] = set()
@@ -178,13 +181,15 @@
         """Return whether so much is free that late jobs don't delay others."""
         return self.free_cpu > SPARE_SHARE * self.healthy_cpu
 
-    def room_for(self, cpu: int, needed: int) -> int:
+    def room_for(self, cpu: int, needed: int, now: float) -> int:
         """Return how much of the CPU that is needed is free for tasks of a size."""
         room = 0
-        for free_cpu, _ in self._order.by_falling_free_cpu():
+        excluded_class = self._excluded_class(now)
+        for free_cpu, runner_id in self._order.by_falling_free_cpu():
             if free_cpu < cpu or room >= needed:
                 break
-            room += free_cpu // cpu * cpu if cpu else free_cpu
+            if self._keys_by_id[runner_id][0] < excluded_class:
+                room += free_cpu // cpu * cpu if cpu else free_cpu
         return min(room, needed)
 
     def max_free_cpu(self, now: float) -> int:
@@ -268,6 +273,7 @@
         }
         other._keys_by_id = dict(self._keys_by_id)
         other._weighted_cpu_by_id = dict(self._weighted_cpu_by_id)
+        other._offered_cpu_by_id = dict(self._offered_cpu_by_id)
         other._unhealthy_by_id = {each: other.runner_by_id[each] for each in self._unhealthy_by_id}
         other._ejected_ids = set(self._ejected_ids)
         other._labels_by_id = dict(self._labels_by_id)
@@ -337,6 +343,8 @@
         self._weighted_cpu_by_id[runner.id] = weighted
         self.healthy_cpu += weighted[0]
         self.free_cpu += weighted[1]
+        self._offered_cpu_by_id[runner.id] = runner.offered_cpu
+        self.offered_cpu += runner.offered_cpu
 
     def _forget(self, runner_id: str) -> bool:
         """Take a runner out of the order; return whether it was in it."""
@@ -350,4 +358,5 @@
         weighted_cpu, weighted_free_cpu = self._weighted_cpu_by_id.pop(runner_id)
         self.healthy_cpu -= weighted_cpu
         self.free_cpu -= weighted_free_cpu
+        self.offered_cpu -= self._offered_cpu_by_id.pop(runner_id)
         return True
--- a/src/daisyfall/policy/_shortage.py
+++ b/src/daisyfall/policy/_shortage.py
@@ -120,9 +120,7 @@
         demand = batch.demands[0]
         if self._is_confined(batch):
             return self._may_wait_in_bulkhead(batch, candidates, now)
-        if self._runners.room_for(demand.cpu, batch.cpu) >= batch.cpu and candidates.choose(
-            demand, batch.route
-        ):
+        if self._has_room(batch, now) and candidates.choose(demand, batch.route):
             return True
         if not self.is_predictable():
             return now < batch.latest_start
@@ -153,7 +151,7 @@
             return False
         if batch.has_started or len(batch.demands) == 1:
             return True
-        has_room = self._runners.room_for(batch.demands[0].cpu, batch.cpu) >= batch.cpu
+        has_room = self._has_room(batch, now)
         if batch.is_late and not self._is_confined(batch):
             # Once started, its other tasks would go ahead of jobs that can still be in time.
             return has_room
@@ -205,7 +203,7 @@
             return False
         within_s = min(within_s, _expected_ends.FORECAST_S)
         ahead = self._cpu_ahead(batch, within_s, now)
-        return self._margin(batch, self._room_for(batch), ahead, within_s, now) >= 0
+        return self._margin(batch, self._room_for(batch, now), ahead, within_s, now) >= 0
 
     def review(self, now: float) -> list[_job_queue.TaskBatch]:
         """Return the queued jobs that can't start in time any more.
@@ -246,7 +244,7 @@
                 within_s = QUEUED_SHARE * (batch.expires_at - now)
                 within_s = min(max(within_s, _expected_ends.SLOT_S), _expected_ends.FORECAST_S)
                 ahead = _occupied(urgent, within_s) + _net_cpu(cpu, core_seconds, within_s)
-                free = self._room_for(batch) if batch.min_cpu <= most_free else 0
+                free = self._room_for(batch, now) if batch.min_cpu <= most_free else 0
                 margin = self._margin(batch, free, ahead, within_s, now)
                 if margin < 0:
                     hopeless.append(batch)
@@ -328,8 +326,16 @@
                 demand.advance(now)
         return self._demand_by_priority.items()
 
-    def _room_for(self, batch: _job_queue.TaskBatch) -> int:
-        return self._runners.room_for(batch.min_cpu, batch.cpu)
+    def _needed_cpu(self, batch: _job_queue.TaskBatch) -> int:
+        """Return the CPU that a job can use at once; one wider than the pool uses all of it."""
+        return min(batch.cpu, self._runners.offered_cpu)
+
+    def _has_room(self, batch: _job_queue.TaskBatch, now: float) -> bool:
+        needed = self._needed_cpu(batch)
+        return self._runners.room_for(batch.demands[0].cpu, needed, now) >= needed
+
+    def _room_for(self, batch: _job_queue.TaskBatch, now: float) -> int:
+        return self._runners.room_for(batch.min_cpu, self._needed_cpu(batch), now)
 
     def _margin(
         self, batch: _job_queue.TaskBatch, free: int, ahead: float, within_s: float, now: float
@@ -340,15 +346,16 @@
         others of the same job.
         """
         freed_cpu = self._runners.expected_ends.freed_cpu
+        needed = self._needed_cpu(batch)
         supply = free + freed_cpu(now, within_s)
         if batch.run_s > within_s or not supply:
-            return supply - ahead - batch.cpu
+            return supply - ahead - needed
         starts, run_s = supply, max(batch.run_s, within_s / MAX_ROUNDS, _expected_ends.SLOT_S)
         earlier_s = within_s - run_s
         while earlier_s > -1e-9:
             starts += free + freed_cpu(now, earlier_s)
             earlier_s -= run_s
-        return supply - ahead - batch.cpu * supply / starts
+        return supply - ahead - needed * supply / starts
 
 
 def _occupied(flows: list[tuple], within_s: float) -> float:
