Call the limit of an entry on what it accepts an admission limit

Cause: 'the door' is not a usual term of the field. Change: names, a log line and the pages say admission, or refused on arrival.

--- a/features/entry_limits.feature
+++ b/features/entry_limits.feature
@@ -19,7 +19,7 @@
       | 200     | 0.5   | 0    | 1    | 0   | inf   |
       | 200     | 0.8   | 25   | 0.4  | 0   | inf   |
 
-  Scenario: beyond the limit the least urgent job is refused at the door, and the hints are spread
+  Scenario: beyond the limit the least urgent job is refused on arrival, and the hints are spread
     Given an entry that may let 50 jobs wait
     When 70 jobs of two routes arrive at the same time
     Then the 20 least urgent of the less urgent route are refused as entry_full at once
--- a/features/steps/entry_limits_steps.py
+++ b/features/steps/entry_limits_steps.py
@@ -25,7 +25,7 @@
 WAIT_S = 4.0
 MAX_WAIT_S = 3.0
 STEP_S = 0.01
-# Until when jobs at the door are of use; that is 45% of their callers' time.
+# Until when arriving jobs are of use; that is 45% of their callers' time.
 SLACK_S = 0.5
 TARGET_S = pool_work_steps.ROUTE.target_latency_ms / 1000
 
@@ -38,17 +38,17 @@
     context.add_cleanup(patch.stop)
 
 
-def busy_door(context, waiting, slack, rate, *, seconds=1.0, lag=0.0):
+def busy_limit(context, waiting, slack, rate, *, seconds=1.0, lag=0.0):
     """Return a limit after a time with `waiting` jobs, of which `rate` a second were started."""
-    door = _entry_limits.DoorLimit(context.now)
+    limit = _entry_limits.AdmissionLimit(context.now)
     for _ in range(waiting):
-        door.record_arrival(slack)
+        limit.record_arrival(slack)
     for _ in range(round(seconds / TICK_S)):
         for _ in range(round(rate * TICK_S)):
-            door.record_start()
+            limit.record_start()
         context.now += TICK_S
-        door.observe(context.now, waiting, lag)
-    return door
+        limit.observe(context.now, waiting, lag)
+    return limit
 
 
 @given("an entry at which {waiting:d} jobs wait, with {slack:g} s until they are of no use")
@@ -59,21 +59,21 @@
 
 @when("{rate:d} of them a second are started for {seconds:g} s while its loop lags by {lag:g} s")
 def start_some(context, rate, seconds, lag):
-    context.door = busy_door(
+    context.admission = busy_limit(
         context, context.waiting, context.slack, rate, seconds=seconds, lag=lag
     )
 
 
 @then("at most {limit} jobs may wait")
 def check_limit(context, limit):
-    assert context.door.max_waiting() == float(limit), context.door.max_waiting()
+    assert context.admission.max_waiting() == float(limit), context.admission.max_waiting()
 
 
 @given("an entry that may let {limit:d} jobs wait")
 def limit_waiting(context, limit):
     set_clock(context)
     context.limits = _job_limits.JobLimits(random.Random(3), context.now)
-    context.limits._door = busy_door(context, 100, SLACK_S, limit / SLACK_S)
+    context.limits._admission = busy_limit(context, 100, SLACK_S, limit / SLACK_S)
     context.lines = []
     sink = loguru.logger.add(context.lines.append, format="{message}")
     context.add_cleanup(loguru.logger.remove, sink)
@@ -105,8 +105,10 @@
 def check_hints(context, least):
     hints = [answer.retry_after_s for _, answer in context.refused]
     assert min(hints) >= least and len(set(hints)) == len(hints), hints
-    urgent = context.limits._door.retry_after_s(40, 0, 0.4, 1.0)
-    assert urgent <= min(hints) * 1.5 < context.limits._door.retry_after_s(40, 2, 0.4, 0.0) * 1.5
+    urgent = context.limits._admission.retry_after_s(40, 0, 0.4, 1.0)
+    assert (
+        urgent <= min(hints) * 1.5 < context.limits._admission.retry_after_s(40, 2, 0.4, 0.0) * 1.5
+    )
 
 
 @step("the log says once that the entry refuses, and once that it accepts again")
@@ -115,7 +117,7 @@
         context.now += 1.0
         context.limits.observe(context.now, 0.0)
     texts = [line.strip() for line in context.lines]
-    assert texts == ["entry refuses jobs at the door", "entry accepts all jobs again"], texts
+    assert texts == ["entry refuses jobs on arrival", "entry accepts all jobs again"], texts
 
 
 def start(context, wait_s, *steps):
--- a/src/daisyfall/policy/_entry_limits.py
+++ b/src/daisyfall/policy/_entry_limits.py
@@ -36,7 +36,7 @@
 OUT_OF_TIME = "out_of_time"
 
 
-class DoorLimit:
+class AdmissionLimit:
     """How many jobs of an entry may wait for their first start.
 
     The rate at which jobs leave the waiting state is the capacity of the entry only while enough
@@ -89,7 +89,7 @@
         return max(round(rate * max(self._slack_s - self._lag_s, 0.0)), MIN_WAITING_JOBS)
 
     def retry_after_s(self, waiting: int, priority: int, slack_s: float, jitter: float) -> float:
-        """Return when a job that is refused at the door should be sent again.
+        """Return when a job that is refused on arrival should be sent again.
 
         It returns once the waiting jobs have started, the most urgent one first: by the priority
         of its route and by its slack. `jitter` (0 to 1) spreads the retries.
--- a/src/daisyfall/request/_job_limits.py
+++ b/src/daisyfall/request/_job_limits.py
@@ -19,8 +19,8 @@
 DEADLINE = "deadline"
 # Time between two looks of an entry at its jobs.
 CHECK_INTERVAL_S = 0.04
-# The entry has stopped refusing at the door once it has accepted all jobs for this time.
-DOOR_QUIET_S = 1.0
+# The entry has stopped refusing jobs on arrival once it has accepted all jobs for this time.
+REFUSALS_END_S = 1.0
 
 Ended = tuple[_pool_jobs.Job, _pool_jobs.Answer]
 
@@ -34,11 +34,11 @@
 
     def __init__(self, rng: random.Random, now: float):
         self._rng = rng
-        self._door = _entry_limits.DoorLimit(now)
+        self._admission = _entry_limits.AdmissionLimit(now)
         self._reply_times = _entry_limits.ReplyTimes()
         self._waiting_by_id: dict[str, _pool_jobs.Job] = {}
         self._shutdown_deadline = math.inf
-        self._door_refusals = 0
+        self._refusals = 0
         self._refused_at = -math.inf
 
     @property
@@ -52,19 +52,19 @@
 
     def observe(self, now: float, lag_s: float) -> None:
         """Record by how much the event loop is behind its timers; called periodically."""
-        self._door.observe(now, len(self._waiting_by_id), lag_s)
-        if self._door_refusals and now - self._refused_at > DOOR_QUIET_S:
-            log = loguru.logger.bind(refused=self._door_refusals)
+        self._admission.observe(now, len(self._waiting_by_id), lag_s)
+        if self._refusals and now - self._refused_at > REFUSALS_END_S:
+            log = loguru.logger.bind(refused=self._refusals)
             log.info("entry accepts all jobs again")
-            self._door_refusals = 0
+            self._refusals = 0
 
     def add(self, job: _pool_jobs.Job, now: float) -> Ended | None:
         """Add a new job; return the job that is refused for it, which may be the new one."""
         ended = self.refusal_for(job, now)
         if ended is not None and ended[1].reason == _entry_limits.ENTRY_FULL:
-            self._note_door_refusal(now)
+            self._note_refusal(now)
         if ended is None or ended[0] is not job:
-            self._door.record_arrival(job.late_deadline - now)
+            self._admission.record_arrival(job.late_deadline - now)
             self._waiting_by_id[job.id] = job
         return ended
 
@@ -75,10 +75,10 @@
         if now + job.critical_path_s > job.answer_by:
             return job, _refused(_entry_limits.OUT_OF_TIME, 0.0)
         waiting = len(self._waiting_by_id) + 1
-        if waiting <= self._door.max_waiting():
+        if waiting <= self._admission.max_waiting():
             return None
         least_urgent = max([*self._waiting_by_id.values(), job], key=urgency)
-        after_s = self._door.retry_after_s(
+        after_s = self._admission.retry_after_s(
             waiting,
             least_urgent.submission.route.priority,
             least_urgent.latest_start - now,
@@ -98,7 +98,7 @@
     def record_start(self, job: _pool_jobs.Job) -> None:
         """Record that a task of a job is dispatched."""
         if self._waiting_by_id.pop(job.id, None) is not None:
-            self._door.record_start()
+            self._admission.record_start()
 
     def remove(self, job: _pool_jobs.Job) -> None:
         """Remove a job that has ended."""
@@ -123,12 +123,12 @@
         names = (job.submission.route.name for job in self._waiting_by_id.values())
         return dict(collections.Counter(names))
 
-    def _note_door_refusal(self, now: float) -> None:
-        if not self._door_refusals:
-            limit = round(self._door.max_waiting())
+    def _note_refusal(self, now: float) -> None:
+        if not self._refusals:
+            limit = round(self._admission.max_waiting())
             log = loguru.logger.bind(waiting=self.waiting, limit=limit)
-            log.warning("entry refuses jobs at the door")
-        self._door_refusals += 1
+            log.warning("entry refuses jobs on arrival")
+        self._refusals += 1
         self._refused_at = now
 
 
