Sum decaying work in one class

Cause: arriving work that counts less with time was kept in four ways: pairs of a sum and a time in the bulkheads and the racks in demand, a class in the fair shares, and a third form in the choice under shortage. Change: `DecayingSum` in a module of its own serves all four. Half-lives are unchanged; the averaging time of 0.5 s of the choice under shortage is written as its half-life.

--- a/src/daisyfall/policy/_confinement.py
+++ b/src/daisyfall/policy/_confinement.py
@@ -9,6 +9,8 @@
 import zlib
 from collections.abc import Iterable
 
+from daisyfall.policy import _decaying_sum
+
 # A route is confined for this long after a task of it was given up for crashes.
 CONFINEMENT_S = 10.0
 # Arriving work counts half after this time.
@@ -23,8 +25,8 @@
     """
 
     def __init__(self) -> None:
-        # Core seconds at the time of the last batch, and that time.
-        self._work_by_route: dict[str, tuple[float, float]] = {}
+        # Core seconds that arrived.
+        self._work_by_route: dict[str, _decaying_sum.DecayingSum] = {}
         self._confined_until_by_route: dict[str, float] = {}
         self._updated_at = float("-inf")
         self._bulkhead_by_route: dict[str, frozenset[str]] = {}
@@ -32,7 +34,10 @@
 
     def record_work(self, route: str, core_seconds: float, now: float) -> None:
         """Add the work of an arriving batch."""
-        self._work_by_route[route] = (self._work(route, now) + core_seconds, now)
+        work = self._work_by_route.get(route)
+        if work is None:
+            work = self._work_by_route[route] = _decaying_sum.DecayingSum(WORK_HALF_LIFE_S)
+        work.add(core_seconds, now)
 
     def confine(self, route: str, now: float) -> None:
         """Confine a route from the next update on, or for longer."""
@@ -59,13 +64,9 @@
         }
         self.reserved = frozenset().union(*self._bulkhead_by_route.values())
 
-    def _work(self, route: str, now: float) -> float:
-        core_seconds, recorded_at = self._work_by_route.get(route, (0.0, now))
-        return core_seconds * 0.5 ** ((now - recorded_at) / WORK_HALF_LIFE_S)
-
     def _choose_bulkhead(self, route: str, runner_ids: list[str], now: float) -> frozenset[str]:
         """Return the first runners in an order that is the route's own and hardly ever changes."""
-        total = sum(self._work(each, now) for each in self._work_by_route)
-        share = self._work(route, now) / total if total else 1.0
+        total = sum(work.at(now) for work in self._work_by_route.values())
+        share = self._work_by_route[route].at(now) / total if total else 1.0
         ordered = sorted(runner_ids, key=lambda each: zlib.crc32(f"{route}/{each}".encode()))
         return frozenset(ordered[: max(1, math.ceil(share * len(ordered)))])
--- a/src/daisyfall/policy/_fair_shares.py
+++ b/src/daisyfall/policy/_fair_shares.py
@@ -10,10 +10,13 @@
 by what they ask for.
 """
 
+import functools
 import math
 
 import attrs
 
+from daisyfall.policy import _decaying_sum
+
 # Work counts half after this time, so a group that got nothing goes first after a part of it.
 HALF_LIFE_S = 4.0
 # A group is favoured if it was given less than this fraction of its share. What it has asked for
@@ -26,6 +29,8 @@
 # Sums that are smaller than this, in core seconds, are forgotten at the next computation.
 FORGOTTEN_WORK = 0.01
 
+_new_sum = functools.partial(_decaying_sum.DecayingSum, HALF_LIFE_S)
+
 
 @attrs.frozen
 class Group:
@@ -45,22 +50,6 @@
         return (self.priority, self.route, self.data_centre)
 
 
-@attrs.define(slots=True)
-class DecayingSum:
-    """Sum of core seconds that counts half after `HALF_LIFE_S`."""
-
-    value: float = 0.0
-    updated_at: float = 0.0
-
-    def at(self, now: float) -> float:
-        """Return the sum at a time."""
-        return self.value * 0.5 ** (max(now - self.updated_at, 0.0) / HALF_LIFE_S)
-
-    def add(self, core_seconds: float, now: float) -> None:
-        """Add work."""
-        self.value, self.updated_at = self.at(now) + core_seconds, now
-
-
 class ServedWork:
     """What the callers of an entry were given lately, by route; kept by that entry.
 
@@ -68,13 +57,13 @@
     """
 
     def __init__(self) -> None:
-        self._sum_by_route: dict[str, DecayingSum] = {}
+        self._sum_by_route: dict[str, _decaying_sum.DecayingSum] = {}
 
     def add(self, route: str, core_seconds: float, now: float) -> None:
         """Add the expected work of a task that is dispatched."""
-        self._sum_by_route.setdefault(route, DecayingSum()).add(core_seconds, now)
+        self._sum_by_route.setdefault(route, _new_sum()).add(core_seconds, now)
 
-    def lately(self, route: str, now: float) -> float:
+    def recent(self, route: str, now: float) -> float:
         """Return the decaying sum of a route."""
         known = self._sum_by_route.get(route)
         return round(known.at(now), 3) if known else 0.0
@@ -88,9 +77,9 @@
     burst would be favoured for a deficit that a few of them make up.
     """
 
-    asked: DecayingSum = attrs.Factory(DecayingSum)
-    given: DecayingSum = attrs.Factory(DecayingSum)
-    favoured: DecayingSum = attrs.Factory(DecayingSum)
+    asked: _decaying_sum.DecayingSum = attrs.Factory(_new_sum)
+    given: _decaying_sum.DecayingSum = attrs.Factory(_new_sum)
+    favoured: _decaying_sum.DecayingSum = attrs.Factory(_new_sum)
 
 
 class FairShares:
@@ -99,15 +88,17 @@
     def __init__(self) -> None:
         self._sums_by_group: dict[Group, GroupSums] = {}
         # By entry and group, what is known to have been given through that entry.
-        self._given_by_entry: dict[tuple[str, str, str], DecayingSum] = {}
+        self._given_by_entry: dict[tuple[str, str, str], _decaying_sum.DecayingSum] = {}
         # By route, the decaying sums of work and of jobs.
-        self._work_by_route: dict[str, tuple[DecayingSum, DecayingSum]] = {}
+        self._work_by_route: dict[
+            str, tuple[_decaying_sum.DecayingSum, _decaying_sum.DecayingSum]
+        ] = {}
         self._level_by_priority: dict[int, float] = {}
         self._levels_computed_at = -math.inf
 
     def record_request(self, batch, now: float) -> None:
         """Record what a job asks for, and what its entry says that its group was given."""
-        work, jobs = self._work_by_route.setdefault(batch.route, (DecayingSum(), DecayingSum()))
+        work, jobs = self._work_by_route.setdefault(batch.route, (_new_sum(), _new_sum()))
         work.add(batch.core_seconds, now)
         jobs.add(1.0, now)
         sums = self._sums(self._group_of(batch))
@@ -171,11 +162,11 @@
             sums = self._sums_by_group[group] = GroupSums()
         return sums
 
-    def _given(self, batch) -> DecayingSum:
+    def _given(self, batch) -> _decaying_sum.DecayingSum:
         key = (batch.entry_id, batch.route, batch.data_centre)
         given = self._given_by_entry.get(key)
         if given is None:
-            given = self._given_by_entry[key] = DecayingSum()
+            given = self._given_by_entry[key] = _new_sum()
         return given
 
     def _compute_levels(self, now: float) -> None:
--- a/src/daisyfall/policy/_rack_demand.py
+++ b/src/daisyfall/policy/_rack_demand.py
@@ -5,11 +5,12 @@
 so the load of one rack would otherwise slow all others.
 """
 
-import math
 from collections.abc import Callable
 
 import attrs
 
+from daisyfall.policy import _decaying_sum
+
 HALF_LIFE_S = 0.5
 UPDATE_INTERVAL_S = 0.1
 # A rack is in demand if the work that prefers it needs this share of its capacity.
@@ -21,13 +22,16 @@
     """Work that prefers each rack of one pool; `racks` are those in demand."""
 
     racks: frozenset[str] = frozenset()
-    # Core seconds at the time of the last record, and that time.
-    _work_by_rack: dict[str, tuple[float, float]] = attrs.Factory(dict)
+    # Core seconds that arrived.
+    _work_by_rack: dict[str, _decaying_sum.DecayingSum] = attrs.Factory(dict)
     _updated_at: float = float("-inf")
 
     def record(self, rack: str, core_seconds: float, now: float) -> None:
         """Add the work of a task that prefers a rack."""
-        self._work_by_rack[rack] = (self._work(rack, now) + core_seconds, now)
+        work = self._work_by_rack.get(rack)
+        if work is None:
+            work = self._work_by_rack[rack] = _decaying_sum.DecayingSum(HALF_LIFE_S)
+        work.add(core_seconds, now)
 
     def update(self, cores_of: Callable[[str], float], now: float) -> None:
         """Bring `racks` up to date, at most once in `UPDATE_INTERVAL_S`.
@@ -38,18 +42,12 @@
             return
         self._updated_at = now
         self._work_by_rack = {
-            rack: row for rack, row in self._work_by_rack.items() if now - row[1] < 10 * HALF_LIFE_S
+            rack: work
+            for rack, work in self._work_by_rack.items()
+            if now - work.updated_at < 10 * HALF_LIFE_S
         }
         self.racks = frozenset(
             rack
-            for rack in self._work_by_rack
-            if self._rate(rack, now) > DEMAND_SHARE * cores_of(rack)
+            for rack, work in self._work_by_rack.items()
+            if work.rate(now) > DEMAND_SHARE * cores_of(rack)
         )
-
-    def _rate(self, rack: str, now: float) -> float:
-        """Return the arriving work in core seconds per second, averaged over the half-life."""
-        return self._work(rack, now) * math.log(2) / HALF_LIFE_S
-
-    def _work(self, rack: str, now: float) -> float:
-        core_seconds, recorded_at = self._work_by_rack.get(rack, (0.0, now))
-        return core_seconds * 0.5 ** ((now - recorded_at) / HALF_LIFE_S)
--- a/src/daisyfall/policy/_shortage.py
+++ b/src/daisyfall/policy/_shortage.py
@@ -12,12 +12,19 @@
 """
 
 import copy
+import functools
 import math
-from collections.abc import Iterable
 
 import attrs
 
-from daisyfall.policy import _candidates, _expected_ends, _job_queue, _pool_runners, _retry_slots
+from daisyfall.policy import (
+    _candidates,
+    _decaying_sum,
+    _expected_ends,
+    _job_queue,
+    _pool_runners,
+    _retry_slots,
+)
 
 # Share of the time until its latest start within which a queued job must be expected to start,
 # so that one that was accepted isn't refused for a small change of what is expected.
@@ -36,8 +43,8 @@
 # The queued jobs are examined this often, and this often if jobs arrive that may displace some.
 REVIEW_INTERVAL_S = 0.04
 MIN_REVIEW_INTERVAL_S = 0.01
-# Time over which the work of more urgent jobs is averaged.
-LATELY_S = 0.5
+# The demand of each priority counts half after this time.
+DEMAND_HALF_LIFE_S = 0.5 * math.log(2)
 # A late job may use the last CPU that is free if it would be refused within this time.
 LAST_CHANCE_S = 0.1
 # A shortage is over if nothing waited and no job was refused for this time.
@@ -46,27 +53,19 @@
 MAX_ROUNDS = 20
 
 
-@attrs.define(slots=True)
-class RecentDemand:
-    """What the jobs of one priority asked for lately.
+_new_sum = functools.partial(_decaying_sum.DecayingSum, DEMAND_HALF_LIFE_S)
 
-    `cpu` is in thousandths of a core, `core_seconds` the work; both decay with `LATELY_S`.
-    """
 
-    cpu: float = 0.0
-    core_seconds: float = 0.0
-    updated_at: float = 0.0
+@attrs.frozen
+class RecentDemand:
+    """What the jobs of one priority got: CPU in thousandths of a core, and core seconds."""
 
-    def advance(self, now: float) -> None:
-        """Let the sums decay."""
-        decay = math.exp(-max(now - self.updated_at, 0.0) / LATELY_S)
-        self.cpu *= decay
-        self.core_seconds *= decay
-        self.updated_at = now
+    cpu: _decaying_sum.DecayingSum = attrs.Factory(_new_sum)
+    core_seconds: _decaying_sum.DecayingSum = attrs.Factory(_new_sum)
 
 
 class Shortage:
-    """Decides for one pool which jobs can start in time; keeps what was asked for lately."""
+    """Decides for one pool which jobs can start in time; keeps the recent demand."""
 
     def __init__(self, runners: _pool_runners.PoolRunners, queue: _job_queue.JobQueue) -> None:
         self._runners = runners
@@ -96,10 +95,9 @@
         """Record tasks that have got their CPU, except of late jobs, which don't come again."""
         demand = self._demand_by_priority.get(priority)
         if demand is None:
-            demand = self._demand_by_priority[priority] = RecentDemand(updated_at=now)
-        demand.advance(now)
-        demand.cpu += cpu
-        demand.core_seconds += core_seconds
+            demand = self._demand_by_priority[priority] = RecentDemand()
+        demand.cpu.add(cpu, now)
+        demand.core_seconds.add(core_seconds, now)
 
     def record_queued(self, batch: _job_queue.TaskBatch) -> None:
         """Take note of a job that waits, as it may push others past their latest start."""
@@ -259,11 +257,11 @@
     ) -> float:
         """Return after how many seconds the caller of a refused job should retry."""
         used = sum(
-            demand.core_seconds
-            for priority, demand in self._advanced_demands(now)
+            demand.core_seconds.rate(now)
+            for priority, demand in self._demand_by_priority.items()
             if priority <= batch.priority
         )
-        spare = max(cores - used / LATELY_S, _retry_slots.MIN_SPARE_SHARE * cores)
+        spare = max(cores - used, _retry_slots.MIN_SPARE_SHARE * cores)
         work = self._queue.total_work()
         return self._retries.book(
             batch.priority,
@@ -308,24 +306,17 @@
                 break
             if lane.batches:
                 flow_by_lane[lane_key] = (lane.cpu, lane.core_seconds, 0.0, 0.0)
-        for each, demand in self._advanced_demands(now):
+        for each, demand in self._demand_by_priority.items():
             if each < priority or is_late:
                 cpu, core_seconds, _, _ = flow_by_lane.get((False, each), (0, 0.0, 0.0, 0.0))
-                rate = EXPECTED_SHARE / LATELY_S
                 flow_by_lane[False, each] = (
                     cpu,
                     core_seconds,
-                    demand.cpu * rate,
-                    demand.core_seconds * rate,
+                    EXPECTED_SHARE * demand.cpu.rate(now),
+                    EXPECTED_SHARE * demand.core_seconds.rate(now),
                 )
         return list(flow_by_lane.values())
 
-    def _advanced_demands(self, now: float) -> Iterable[tuple[int, RecentDemand]]:
-        for demand in self._demand_by_priority.values():
-            if demand.updated_at != now:
-                demand.advance(now)
-        return self._demand_by_priority.items()
-
     def _needed_cpu(self, batch: _job_queue.TaskBatch) -> int:
         """Return the CPU that a job can use at once; one wider than the pool uses all of it."""
         return min(batch.cpu, self._runners.offered_cpu)
--- a/src/daisyfall/request/_pool_job_manager.py
+++ b/src/daisyfall/request/_pool_job_manager.py
@@ -287,7 +287,7 @@
             now = _clock.monotonic()
             self.limits.record_request(job, now)
             batch = job.request_placement(tasks, self._entry_id)
-            batch.served = self._served.lately(batch.route, now)
+            batch.served = self._served.recent(batch.route, now)
             self._callbacks.place(batch)
 
     def _dispatch(self, job: _pool_jobs.Job, placed: _pool_wire.TasksPlaced) -> None:
