Count unanswered orders of one disturbance as one fault

Several orders that were in flight together then went unanswered together, and each counted: 10 to 13 ejections in 14 s of three runners. Successes of tasks placed before the first fault count for nothing; its faults did. Change: an order or task placed before the first fault became known counts with it as one fault. A returning runner is ejected by the same score as a healthy one, as a single unanswered order ejected it again for twice the time. The new scenario fails without the change; pool policy, runner speed, evacuation, departures and explanation: 149 scenarios passed, 0 failed.

--- a/features/runner_speed.feature
+++ b/features/runner_speed.feature
@@ -128,6 +128,16 @@
     And tasks fail on x, and each time one of the 3 tasks ends well
     Then x gets 0 tasks
 
+  # One short disturbance of the link or the host leaves several orders unanswered.
+  Scenario: orders that were sent before one went unanswered count with it as one fault
+    Given the uneven runners x:a:r1:1.0:60
+    And 3 tasks run on x
+    When 0.5 s pass for the runners
+    And the orders of the 3 tasks are unanswered
+    Then x gets 12 tasks
+    When a later order is unanswered
+    Then x gets 0 tasks
+
   # 15% of 60 runners turn 8 times slower for 5 s. A few tasks show it at each runner, then a few
   # probes until it recovers; what ran there has begun before.
   Scenario: runners that turn slow cost a few late jobs each
--- a/features/steps/runner_speed_steps.py
+++ b/features/steps/runner_speed_steps.py
@@ -330,6 +330,20 @@
             context.scheduler.record_task_end("x", each, job, how, context.now)
 
 
+@when("the orders of the 3 tasks are unanswered")
+def fail_earlier(context):
+    for task in context.earlier:
+        job = task.partition(".")[0]
+        context.scheduler.record_task_end("x", task, job, "unanswered", context.now)
+
+
+@when("a later order is unanswered")
+def fail_later(context):
+    submit(context, 1)
+    context.earlier = list(context.placed)
+    fail_earlier(context)
+
+
 @given("a replay of 60 runners of speeds 1.0, 1.0 and 1.3 at {load:d}% load")
 def start_replay(context, load):
     context.replay = runner_replay.Replay(
--- a/src/daisyfall/policy/_runner_health.py
+++ b/src/daisyfall/policy/_runner_health.py
@@ -16,8 +16,6 @@
 FAULT_WEIGHT = 1.5
 MIN_EJECTION_S = 1.0
 MAX_EJECTION_S = 8.0
-# Failure score that ejects a runner that has just returned: a fault, or failures of two jobs.
-RETURNING_EJECTION_SCORE = 1.5
 # Tasks at a time that a runner gets after its probe. The number is doubled after as many successes,
 # until it exceeds the last of these.
 RETURN_LIMITS = (2, 8)
@@ -108,8 +106,16 @@
             self._last_failed_job = job_id
             self._add_failure(1.0, now, may_eject)
 
-    def record_fault(self, now: float, *, may_eject: bool = True) -> None:
-        """Record a fault of the runner: an unanswered order or a task without progress."""
+    def record_fault(
+        self, now: float, *, placed_at: float = float("inf"), may_eject: bool = True
+    ) -> None:
+        """Record a fault of the runner: an unanswered order or a task without progress.
+
+        Tasks placed before a fault became known may have failed for the same short disturbance,
+        so they count with it as one.
+        """
+        if self.failure_score and placed_at < self._counts_from:
+            return
         self._add_failure(FAULT_WEIGHT, now, may_eject)
 
     def update_slowness(self, slowdown: float, now: float, *, may_eject: bool = True) -> None:
@@ -130,13 +136,8 @@
         if not self.failure_score:
             self._counts_from = max(self._counts_from, now)
         self.failure_score += weight
-        limit = {
-            State.PROBING: 0.0,
-            State.RETURNING: RETURNING_EJECTION_SCORE,
-            State.HEALTHY: EJECTION_SCORE,
-            State.EJECTED: float("inf"),
-        }[self.state]
-        if self.failure_score >= limit:
+        is_probe = self.state is State.PROBING
+        if is_probe or (self.is_in_use and self.failure_score >= EJECTION_SCORE):
             self._eject(now, may_eject=may_eject)
 
     def _eject(self, now: float, *, may_eject: bool) -> None:
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -148,7 +148,7 @@
         elif outcome == FAILED:
             health.record_failure(job_id, now, may_eject=pool.may_eject())
         elif outcome in RUNNER_FAULTS:
-            health.record_fault(now, may_eject=pool.may_eject())
+            health.record_fault(now, placed_at=placed_at, may_eject=pool.may_eject())
         pool.runners.update(runner)
         if not len(pool.queue):
             return []
