--- a/features/steps/observation_steps.py
+++ b/features/steps/observation_steps.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from daisyfall import errors
-from daisyfall.process import _log, _metric_families, _metrics, _settings
+from daisyfall.process import _log, _metric_labels, _metrics, _settings
 
 
 def values_by_label(metrics: _metrics.Metrics, sample: str, label: str) -> dict[str, float]:
@@ -39,7 +39,7 @@
     metrics = _metrics.Metrics()
     metrics.count_wasted_messages("x" * length)
     found = values_by_label(metrics, "daisyfall_wasted_messages_total", "reason")
-    assert found == {_metric_families.OTHER: 1}, found
+    assert found == {_metric_labels.OTHER: 1}, found
 
 
 def parse_counts(text: str) -> dict[str, int]:
--- a/src/daisyfall/policy/_candidates.py
+++ b/src/daisyfall/policy/_candidates.py
@@ -96,16 +96,13 @@
         self, demand: _runner_capacity.Demand, route: str
     ) -> Callable[[_runner_capacity.RunnerCapacity], bool]:
         """Return a predicate for the runners that may run a task now."""
-        bulkhead = self._pool.confinement.bulkhead(route)
-        avoided = demand.avoid if demand.avoid and self._has_alternative(demand, bulkhead) else ()
+        bulkhead, avoided = self._restrictions(demand, route)
         self._reserved = self._pool.confinement.reserved if bulkhead is None else ()
-
         return lambda runner: not _obstacle(runner, demand, bulkhead, avoided)
 
     def count_obstacles(self, demand: _runner_capacity.Demand, route: str) -> dict[str, int]:
         """Return, by the reason, how many runners can't get a task; `""` counts those that can."""
-        bulkhead = self._pool.confinement.bulkhead(route)
-        avoided = demand.avoid if demand.avoid and self._has_alternative(demand, bulkhead) else ()
+        bulkhead, avoided = self._restrictions(demand, route)
         return dict(
             collections.Counter(
                 self._pool.exclusion(runner, self.now)
@@ -114,6 +111,15 @@
             )
         )
 
+    def _restrictions(
+        self, demand: _runner_capacity.Demand, route: str
+    ) -> tuple[frozenset[str] | None, tuple[str, ...]]:
+        """Return the runners to which a task is confined, if it is, and those that it avoids."""
+        bulkhead = self._pool.confinement.bulkhead(route)
+        if demand.avoid and self._has_alternative(demand, bulkhead):
+            return bulkhead, demand.avoid
+        return bulkhead, ()
+
     def _choose_near(
         self, demand: _runner_capacity.Demand, is_eligible: Callable, limit: _EndLimit
     ) -> tuple[_runner_capacity.RunnerCapacity | None, float]:
@@ -146,7 +152,7 @@
         `run_ms` is the run time on a runner of speed 1.0.
         """
         best, best_free, best_ms = None, 0.0, math.inf
-        kept = reserved = None
+        in_demand = confined = None
         for speed, order in self._pool.by_class(self.now):
             end_ms = run_ms / speed
             if best is not None and end_ms > limit.latest_ms(best_ms):
@@ -159,16 +165,16 @@
                     if -free * self._pool.largest_cpu < demand.cpu:
                         break
                 elif runner_id in self._reserved:
-                    reserved = reserved or (runner, end_ms)
-                elif self._pool.is_kept(runner, demand.preferred_rack):
-                    kept = kept or (runner, end_ms)
+                    confined = confined or (runner, end_ms)
+                elif self._pool.is_reserved(runner, demand.preferred_rack):
+                    in_demand = in_demand or (runner, end_ms)
                 else:
                     best, best_free = runner, free
                     best_ms = min(best_ms, end_ms)
                     break
         if best is not None:
             return best, best_ms
-        return kept or reserved or (None, math.inf)
+        return in_demand or confined or (None, math.inf)
 
     def run_ms(
         self, runner: _runner_capacity.RunnerCapacity, demand: _runner_capacity.Demand
--- a/src/daisyfall/policy/_entry_limits.py
+++ b/src/daisyfall/policy/_entry_limits.py
@@ -10,6 +10,8 @@
 import math
 import statistics
 
+from daisyfall.policy import _retry_slots
+
 # Fewer jobs that wait for their first start are no sign of overload, whatever the rate is.
 MIN_WAITING_JOBS = 32
 # The rate is measured over intervals of this length in which jobs waited all the time.
@@ -27,8 +29,6 @@
 # Run times vary around the expected one. A running task is expected to take at least this
 # fraction, so that no run is broken off that may still end in time.
 SHORTEST_RUN_FRACTION = 0.25
-# Shortest and longest retry hint.
-RETRY_AFTER_S = (0.5, 10.0)
 
 # Reasons of a refusal.
 ENTRY_FULL = "entry_full"
@@ -137,5 +137,5 @@
 
 def spread_s(due_s: float, spread: float) -> float:
     """Return a retry hint after `due_s`; `spread` (0 or more) moves it back proportionally."""
-    shortest, longest = RETRY_AFTER_S
+    shortest, longest = _retry_slots.RETRY_AFTER_S
     return min(max(due_s, shortest) * (1.0 + spread), longest)
--- a/src/daisyfall/policy/_pool_runners.py
+++ b/src/daisyfall/policy/_pool_runners.py
@@ -12,6 +12,8 @@
 import math
 from collections.abc import Iterable, Iterator
 
+import attrs
+
 from daisyfall.policy import (
     _confinement,
     _expected_ends,
@@ -43,6 +45,20 @@
 _EXCLUSION_CLASS = _runner_speed.class_of(1 / EXCLUSION_SLOWNESS)
 
 
+@attrs.define(slots=True)
+class _Contribution:
+    """What a runner in use adds to its pool: its keys in the order and its CPU.
+
+    `keys` is None for a runner that is at its limit. The weighted figures are those of a runner
+    of speed 1.0.
+    """
+
+    keys: _runner_order.Keys | None
+    offered_cpu: int
+    weighted_cpu: int
+    weighted_free_cpu: int
+
+
 class PoolRunners:
     """The runners of one pool.
 
@@ -64,11 +80,9 @@
         self._returned_cpu = 0
         self._previous_returned_cpu = 0
         self._interval_started_at = float("-inf")
-        # The runners that get tasks, without probes; `None` keys are of one that is at its limit.
+        # The runners that get tasks, without probes.
         self._order = _runner_order.RunnerOrder()
-        self._keys_by_id: dict[str, _runner_order.Keys | None] = {}
-        self._weighted_cpu_by_id: dict[str, tuple[int, int]] = {}
-        self._offered_cpu_by_id: dict[str, int] = {}
+        self._contribution_by_id: dict[str, _Contribution] = {}
         # Available runners that are ejected, or whose probe is still running.
         self._unhealthy_by_id: dict[str, _runner_capacity.RunnerCapacity] = {}
         self._ejected_ids: set[str] = set()
@@ -88,7 +102,8 @@
     def remove(self, runner: _runner_capacity.RunnerCapacity) -> None:
         """Remove a runner."""
         del self.runner_by_id[runner.id]
-        self._forget(runner.id)
+        self._contribute(runner.id, None)
+        self._set_unhealthy(runner, is_unhealthy=False)
         self._set_labels(runner, ())
         self.speeds.remove(runner.id)
         self.expected_ends.remove(runner.id)
@@ -99,21 +114,20 @@
         if self._labels_by_id.get(runner.id) != runner.labels:
             self._set_labels(runner, runner.labels)
         self.largest_cpu = max(self.largest_cpu, runner.cpu)
+        was_available = runner.id in self._contribution_by_id
         is_in_use = runner.health.is_in_use
-        was_available = self._forget(runner.id)
         if is_in_use and runner.is_available:
-            self._add(runner)
+            contribution = self._contribution_of(runner)
+            self._contribute(runner.id, contribution)
             self.expected_ends.update(runner.id, runner.allocation_by_task)
             is_idle = runner.free_cpu >= IDLE_SHARE * runner.cpu and runner.share == 1.0
             is_healthy = runner.health.state is _runner_health.State.HEALTHY
             if not was_available and is_idle and is_healthy:
-                self._returned_cpu += self._weighted_cpu_by_id[runner.id][0]
+                self._returned_cpu += contribution.weighted_cpu
         else:
+            self._contribute(runner.id, None)
             self.expected_ends.remove(runner.id)
-        if not is_in_use:
-            self._ejected_ids.add(runner.id)
-            if runner.is_available:
-                self._unhealthy_by_id[runner.id] = runner
+        self._set_unhealthy(runner, is_unhealthy=not is_in_use)
 
     def advance(self, now: float) -> None:
         """Forget what came back before the last intervals; update confined routes and racks."""
@@ -144,7 +158,7 @@
         bulkhead = self.confinement.bulkhead(route)
         if bulkhead is None:
             return self.healthy_cpu
-        return sum(self._weighted_cpu_by_id.get(each, (0, 0))[0] for each in bulkhead)
+        return self._weighted_cpu(bulkhead)
 
     def is_recovering(self) -> bool:
         """Return whether the pool has no runner, or has just got many of them back idle."""
@@ -167,7 +181,7 @@
     def fits_evacuated_only(self, demand: _runner_capacity.Demand) -> bool:
         """Return whether only runners of evacuated data centres could ever run a task."""
         # Available runners come first, as nearly every one of them can run most tasks.
-        runner_ids = itertools.chain(self._keys_by_id, self.runner_by_id)
+        runner_ids = itertools.chain(self._contribution_by_id, self.runner_by_id)
         fits_any = False
         for runner_id in runner_ids:
             runner = self.runner_by_id[runner_id]
@@ -188,7 +202,7 @@
         for free_cpu, runner_id in self._order.by_falling_free_cpu():
             if free_cpu < cpu or room >= needed:
                 break
-            if self._keys_by_id[runner_id][0] < excluded_class:
+            if self._contribution_by_id[runner_id].keys[0] < excluded_class:
                 room += free_cpu // cpu * cpu if cpu else free_cpu
         return min(room, needed)
 
@@ -235,9 +249,9 @@
         """Yield the runners of a rack that accept tasks: speed, minus free share, and runner."""
         excluded_class = self._excluded_class(now)
         for runner_id, runner in self._runners_by_rack.get(rack, {}).items():
-            keys = self._keys_by_id.get(runner_id)
-            if keys is not None:
-                speed_class, free = keys[0], keys[1]
+            contribution = self._contribution_by_id.get(runner_id)
+            if contribution is not None and contribution.keys is not None:
+                speed_class, free = contribution.keys[:2]
             elif runner_id in self._unhealthy_by_id and runner.health.accepts_tasks(now):
                 speed_class, free = self.speed_class(runner), -runner.free_share
             else:
@@ -271,9 +285,7 @@
         other.runner_by_id = {
             runner_id: runner.copy() for runner_id, runner in self.runner_by_id.items()
         }
-        other._keys_by_id = dict(self._keys_by_id)
-        other._weighted_cpu_by_id = dict(self._weighted_cpu_by_id)
-        other._offered_cpu_by_id = dict(self._offered_cpu_by_id)
+        other._contribution_by_id = dict(self._contribution_by_id)
         other._unhealthy_by_id = {each: other.runner_by_id[each] for each in self._unhealthy_by_id}
         other._ejected_ids = set(self._ejected_ids)
         other._labels_by_id = dict(self._labels_by_id)
@@ -283,8 +295,8 @@
         }
         return other
 
-    def is_kept(self, runner: _runner_capacity.RunnerCapacity, rack: str) -> bool:
-        """Return whether a runner is kept for tasks that prefer its rack, which isn't `rack`."""
+    def is_reserved(self, runner: _runner_capacity.RunnerCapacity, rack: str) -> bool:
+        """Return whether a runner is left to tasks that prefer its rack, which isn't `rack`."""
         racks = self.rack_demand.racks
         return bool(racks) and rack not in runner.labels and not racks.isdisjoint(runner.labels)
 
@@ -321,7 +333,12 @@
 
     def _cores_of_rack(self, rack: str) -> float:
         runners = self._runners_by_rack.get(rack, ())
-        return sum(self._weighted_cpu_by_id.get(each, (0, 0))[0] for each in runners) / 1000
+        return self._weighted_cpu(runners) / 1000
+
+    def _weighted_cpu(self, runner_ids: Iterable[str]) -> int:
+        """Return the CPU of those of some runners that are in use, by their speed."""
+        found = (self._contribution_by_id.get(each) for each in runner_ids)
+        return sum(contribution.weighted_cpu for contribution in found if contribution is not None)
 
     def _set_labels(self, runner: _runner_capacity.RunnerCapacity, labels: tuple[str, ...]) -> None:
         for rack in self._labels_by_id.pop(runner.id, ())[1:]:
@@ -331,32 +348,44 @@
         for rack in labels[1:]:
             self._runners_by_rack.setdefault(rack, {})[runner.id] = runner
 
-    def _add(self, runner: _runner_capacity.RunnerCapacity) -> None:
+    def _contribution_of(self, runner: _runner_capacity.RunnerCapacity) -> _Contribution:
         speed_class = self.speed_class(runner)
-        keys = None
-        if not runner.is_at_limit:
-            keys = (speed_class, -runner.free_share, runner.free_cpu, runner.id)
-            self._order.add(keys)
-        self._keys_by_id[runner.id] = keys
         speed = _runner_speed.class_speed(speed_class)
-        weighted = (round(runner.offered_cpu * speed), round(max(runner.free_cpu, 0) * speed))
-        self._weighted_cpu_by_id[runner.id] = weighted
-        self.healthy_cpu += weighted[0]
-        self.free_cpu += weighted[1]
-        self._offered_cpu_by_id[runner.id] = runner.offered_cpu
-        self.offered_cpu += runner.offered_cpu
-
-    def _forget(self, runner_id: str) -> bool:
-        """Take a runner out of the order; return whether it was in it."""
-        self._ejected_ids.discard(runner_id)
-        self._unhealthy_by_id.pop(runner_id, None)
-        if runner_id not in self._keys_by_id:
-            return False
-        keys = self._keys_by_id.pop(runner_id)
-        if keys is not None:
-            self._order.remove(keys)
-        weighted_cpu, weighted_free_cpu = self._weighted_cpu_by_id.pop(runner_id)
-        self.healthy_cpu -= weighted_cpu
-        self.free_cpu -= weighted_free_cpu
-        self.offered_cpu -= self._offered_cpu_by_id.pop(runner_id)
-        return True
+        keys = (speed_class, -runner.free_share, runner.free_cpu, runner.id)
+        return _Contribution(
+            None if runner.is_at_limit else keys,
+            runner.offered_cpu,
+            round(runner.offered_cpu * speed),
+            round(max(runner.free_cpu, 0) * speed),
+        )
+
+    def _contribute(self, runner_id: str, contribution: _Contribution | None) -> None:
+        """Replace what a runner adds to the pool, None for a runner that is not in use."""
+        previous = self._contribution_by_id.get(runner_id)
+        if contribution == previous:
+            return
+        if previous is not None:
+            del self._contribution_by_id[runner_id]
+            self._count(previous, -1)
+            if previous.keys is not None:
+                self._order.remove(previous.keys)
+        if contribution is not None:
+            self._contribution_by_id[runner_id] = contribution
+            self._count(contribution, 1)
+            if contribution.keys is not None:
+                self._order.add(contribution.keys)
+
+    def _count(self, contribution: _Contribution, sign: int) -> None:
+        self.offered_cpu += sign * contribution.offered_cpu
+        self.healthy_cpu += sign * contribution.weighted_cpu
+        self.free_cpu += sign * contribution.weighted_free_cpu
+
+    def _set_unhealthy(
+        self, runner: _runner_capacity.RunnerCapacity, *, is_unhealthy: bool
+    ) -> None:
+        self._ejected_ids.discard(runner.id)
+        self._unhealthy_by_id.pop(runner.id, None)
+        if is_unhealthy:
+            self._ejected_ids.add(runner.id)
+            if runner.is_available:
+                self._unhealthy_by_id[runner.id] = runner
--- a/src/daisyfall/policy/_runner_speed.py
+++ b/src/daisyfall/policy/_runner_speed.py
@@ -119,10 +119,6 @@
         measured = self._measured_by_runner.get(runner_id)
         return measured.speed_class if measured is not None else 0
 
-    def kind_speed(self, kind: str) -> float:
-        """Return the mean speed of the runners of a kind."""
-        return math.exp(self._kind_log_speed(kind))
-
     def _kind_log_speed(self, kind: str) -> float:
         totals = self._totals_by_kind.get(kind)
         return totals.weighted_log_speed / (totals.samples + PRIOR_SAMPLES) if totals else 0.0
--- a/src/daisyfall/policy/_scheduler.py
+++ b/src/daisyfall/policy/_scheduler.py
@@ -257,10 +257,7 @@
 
     def work_ahead(self, batch: _job_queue.TaskBatch) -> float:
         """Return the core seconds that are queued before a batch on the runners of its route."""
-        pool = self._get_pool(batch.pool)
-        bulkhead_of = pool.runners.confinement.bulkhead
-        bulkhead = bulkhead_of(batch.route)
-        return pool.queue.work_ahead(batch, lambda each: bulkhead_of(each.route) == bulkhead)
+        return self._get_pool(batch.pool).shortage.work_ahead(batch)
 
     def refused_by_short_pool(self) -> dict[str, int]:
         """Return, for each pool in shortage, the jobs refused since it began."""
--- a/src/daisyfall/policy/_shortage.py
+++ b/src/daisyfall/policy/_shortage.py
@@ -180,10 +180,13 @@
         cores = self._runners.cpu_for(batch.route) / 1000
         if not cores:
             return False
+        return self.work_ahead(batch) / cores <= BULKHEAD_SHARE * (batch.latest_start - now)
+
+    def work_ahead(self, batch: _job_queue.TaskBatch) -> float:
+        """Return the core seconds that are queued before a batch on the runners of its route."""
         bulkhead_of = self._runners.confinement.bulkhead
         bulkhead = bulkhead_of(batch.route)
-        work = self._queue.work_ahead(batch, lambda queued: bulkhead_of(queued.route) == bulkhead)
-        return work / cores <= BULKHEAD_SHARE * (batch.latest_start - now)
+        return self._queue.work_ahead(batch, lambda each: bulkhead_of(each.route) == bulkhead)
 
     def is_predictable(self) -> bool:
         """Return whether expected starts are known, which follow from the ends of tasks.
--- a/src/daisyfall/process/_deferred_metrics.py
+++ b/src/daisyfall/process/_deferred_metrics.py
@@ -9,18 +9,12 @@
 
 import attrs
 
-PREFIX = "daisyfall_"
-MAX_LABEL_LENGTH = 48
-OTHER = "other"
+from daisyfall.process import _metric_labels
 
 
 @attrs.define(eq=False, repr=False)
 class Counter:
-    """Counter with at most one label, whose distinct values are bounded.
-
-    Further values, and those that are too long, are counted as `OTHER`. This bounds the memory
-    that values received from other processes can use.
-    """
+    """Counter with at most one label, which has at most `max_label_values` and `OTHER`."""
 
     name: str
     help_text: str
@@ -34,12 +28,8 @@
 
     def add(self, value: str = "", count: float = 1.0) -> None:
         """Count under a label value."""
-        if value not in self.count_by_value:
-            is_full = len(self.count_by_value) >= self.max_label_values
-            if is_full or len(value) > MAX_LABEL_LENGTH:
-                value = OTHER
-            self.count_by_value.setdefault(value, 0.0)
-        self.count_by_value[value] += count
+        value = _metric_labels.bounded(value, self.count_by_value, self.max_label_values)
+        self.count_by_value[value] = self.count_by_value.get(value, 0.0) + count
 
 
 @attrs.define(eq=False, repr=False)
@@ -142,15 +132,17 @@
             yield family
 
     def _counter(self, name: str, help_text: str, label: str = "") -> Counter:
-        return self._add(Counter(PREFIX + name, help_text, label, self._max_label_values))
+        return self._add(
+            Counter(_metric_labels.PREFIX + name, help_text, label, self._max_label_values)
+        )
 
     def _histogram(
         self, name: str, help_text: str, bounds: tuple[float, ...], label: str = ""
     ) -> Histogram:
-        return self._add(Histogram(PREFIX + name, help_text, bounds, label))
+        return self._add(Histogram(_metric_labels.PREFIX + name, help_text, bounds, label))
 
     def _gauges(self, name: str, help_text: str, label: str, read) -> Gauges:
-        return self._add(Gauges(PREFIX + name, help_text, label, read))
+        return self._add(Gauges(_metric_labels.PREFIX + name, help_text, label, read))
 
     def _add(self, metric):
         self._metrics.append(metric)
--- a/src/daisyfall/process/_metric_families.py
+++ b/src/daisyfall/process/_metric_families.py
@@ -2,19 +2,17 @@
 
 import prometheus_client as prometheus
 
+from daisyfall.process import _metric_labels
+
 # The creation times are not used and would double the size of each scrape.
 prometheus.disable_created_metrics()
 
-MAX_LABEL_LENGTH = 48
-OTHER = "other"
-
 
 class MetricFamilies:
     """Base of the classes that hold the metrics of one process.
 
     A metric has at most `max_label_values` distinct label values; further ones, and those that
-    are too long, are counted as `OTHER`. This bounds the memory that values received from
-    other processes can use.
+    are too long, are counted as `OTHER`.
     """
 
     def __init__(self, max_label_values: int):
@@ -35,21 +33,23 @@
 
     def _with_label(self, metric, value: str):
         known_values = self._values_by_metric.setdefault(metric._name, set())
-        if value not in known_values:
-            if len(known_values) >= self._max_label_values or len(value) > MAX_LABEL_LENGTH:
-                value = OTHER
-            known_values.add(value)
+        value = _metric_labels.bounded(value, known_values, self._max_label_values)
+        known_values.add(value)
         return metric.labels(value)
 
     def _counter(self, name: str, help_text: str, *labels: str) -> prometheus.Counter:
-        return prometheus.Counter(f"daisyfall_{name}", help_text, labels, registry=self.registry)
+        return prometheus.Counter(
+            _metric_labels.PREFIX + name, help_text, labels, registry=self.registry
+        )
 
     def _gauge(self, name: str, help_text: str, *labels: str) -> prometheus.Gauge:
-        return prometheus.Gauge(f"daisyfall_{name}", help_text, labels, registry=self.registry)
+        return prometheus.Gauge(
+            _metric_labels.PREFIX + name, help_text, labels, registry=self.registry
+        )
 
     def _histogram(
         self, name: str, help_text: str, buckets: tuple[float, ...], *labels: str
     ) -> prometheus.Histogram:
         return prometheus.Histogram(
-            f"daisyfall_{name}", help_text, labels, buckets=buckets, registry=self.registry
+            _metric_labels.PREFIX + name, help_text, labels, buckets=buckets, registry=self.registry
         )
--- a/src/daisyfall/process/_ticker.py
+++ b/src/daisyfall/process/_ticker.py
@@ -1,11 +1,22 @@
 """Periodic work of a process that survives an unexpected error."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import Awaitable, Callable, Iterator
 
 import loguru
 
 
+@contextlib.contextmanager
+def _pass_over_errors(count_error: Callable[[str], None], name: str) -> Iterator[None]:
+    """Log and count an unexpected error of periodic work under its name, and pass it over."""
+    try:
+        yield
+    except Exception as error:
+        loguru.logger.bind(name=name).opt(exception=error).error("periodic work failed")
+        count_error(name)
+
+
 async def run_forever(
     action: Callable[[], Awaitable[None] | None],
     interval_s: Callable[[], float],
@@ -19,13 +30,10 @@
     """
     while True:
         await asyncio.sleep(interval_s())
-        try:
+        with _pass_over_errors(count_error, name):
             waiting = action()
             if waiting is not None:
                 await waiting
-        except Exception as error:
-            loguru.logger.bind(name=name).opt(exception=error).error("periodic work failed")
-            count_error(name)
 
 
 class DeferrableTicker:
@@ -81,9 +89,6 @@
     def _run(self) -> None:
         self._ran_at = self._loop.time()
         self._timer.cancel()
-        try:
+        with _pass_over_errors(self._count_error, self._name):
             self._action()
-        except Exception as error:
-            loguru.logger.bind(name=self._name).opt(exception=error).error("periodic work failed")
-            self._count_error(self._name)
         self._timer = self._loop.call_later(self._interval_s(), self._fire)
