Name the wait of a request after what it returns, and share repeated test code

Cause: `wait_out_pause` also waits for a turn in the event loop and returns its lag. Two steps opened a raw connection by the same lines, and two summed up jobs in time by a key. No check has changed.

--- a/features/steps/pool_links_steps.py
+++ b/features/steps/pool_links_steps.py
@@ -214,12 +214,17 @@
     event_loop.run(context, context.world.send_raw(FRAMES[frame]))
 
 
+def connect_raw(context):
+    """Return a connection to the agent that isn't yet a link."""
+    return websockets.connect(
+        f"ws://{pool_agent_world.ADDRESS}:{context.world.port}", compression=None, proxy=None
+    )
+
+
 @when("a peer opens a link with {frame}")
 def open_with(context, frame):
     async def open_link():
-        async with websockets.connect(
-            f"ws://{pool_agent_world.ADDRESS}:{context.world.port}", compression=None, proxy=None
-        ) as socket:
+        async with connect_raw(context) as socket:
             await socket.send(FRAMES[frame])
             async with asyncio.timeout(2):
                 while True:
@@ -239,9 +244,7 @@
 @when("a peer opens a link and {action}")
 def open_and_end(context, action):
     async def open_link():
-        async with websockets.connect(
-            f"ws://{pool_agent_world.ADDRESS}:{context.world.port}", compression=None, proxy=None
-        ) as socket:
+        async with connect_raw(context) as socket:
             await socket.send(_codec.encode(pool_stand_ins.handshake("entry", "raw")))
             await socket.recv()
             context.sessions = len(context.world.agent._session_by_entry)
--- a/features/steps/shortage_steps.py
+++ b/features/steps/shortage_steps.py
@@ -98,12 +98,17 @@
     return job.verdict == "in time"
 
 
+def served_by(jobs, key):
+    """Return the share of the jobs in time, by a key of the jobs."""
+    jobs_by_key = collections.defaultdict(list)
+    for job in jobs:
+        jobs_by_key[key(job)].append(job)
+    return {each: share(found, is_in_time) for each, found in jobs_by_key.items()}
+
+
 @then("the most urgent kind is served at least as well as each other kind")
 def check_urgent(context):
-    jobs_by_priority = collections.defaultdict(list)
-    for job in context.jobs:
-        jobs_by_priority[job.kind.priority].append(job)
-    served = {each: share(jobs, is_in_time) for each, jobs in jobs_by_priority.items()}
+    served = served_by(context.jobs, lambda job: job.kind.priority)
     assert served[0] == max(served.values()), served
 
 
@@ -275,10 +280,7 @@
 
 @then("the data centres that ask for less are served better than the one that asks for most")
 def check_data_centres(context):
-    jobs_by_name = collections.defaultdict(list)
-    for job in context.jobs:
-        jobs_by_name[job.batch.data_centre].append(job)
-    served = {name: share(jobs, is_in_time) for name, jobs in jobs_by_name.items()}
+    served = served_by(context.jobs, lambda job: job.batch.data_centre)
     print(served)
     assert min(served["a"], served["b"]) > served["c"], served
 
--- a/src/daisyfall/platform/_caller_api.py
+++ b/src/daisyfall/platform/_caller_api.py
@@ -86,8 +86,8 @@
             return _error_response(408, "the body was sent too slowly")
         if len(document) > self._entry.configuration.body_limit_bytes:
             return _error_response(413, "the body is too large")
-        pause_s = await self._entry.wait_out_pause()
-        wait_s = _requested_wait_s(request, route) - (_clock.monotonic() - arrived_at) - pause_s
+        unseen_s = await self._entry.wait_for_turn()
+        wait_s = _requested_wait_s(request, route) - (_clock.monotonic() - arrived_at) - unseen_s
         if wait_s <= 0:
             return _error_response(503, "the deadline has passed")
         try:
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -230,12 +230,13 @@
         self._pause_detector.check()
         return "no_configuration" if self.configuration is None else ""
 
-    async def wait_out_pause(self) -> float:
-        """Return by how many seconds a request may be older than its time of arrival shows.
+    async def wait_for_turn(self) -> float:
+        """Wait; return for how many seconds a request may have lain in the socket before.
 
-        After a pause of the process, requests from the socket buffers are delayed until it is
-        known whether their connections were closed, as that is read after the requests. Many
-        requests that arrive at once are spread over several iterations of the event loop.
+        That is the time of a pause of the process or the lag of its event loop. After a pause,
+        requests are delayed until it is known whether their connections were closed, as that is
+        read after the requests. Many requests that arrive at once are spread over several
+        iterations of the event loop.
         """
         pause_s = self._pause_detector.recent_pause_s(AFTER_PAUSE_S)
         if pause_s:
