Keep a returning runner in use while too many others are ejected

Cause: the bound on ejected runners held only for a runner's first ejection. A returning runner doesn't count as ejected, so its next ejection could exceed the bound: up to all of three runners. Change: the bound holds for every runner that is in use; a probe that fails is still ejected.

--- a/features/runner_speed.feature
+++ b/features/runner_speed.feature
@@ -112,6 +112,16 @@
     And x gets 8 tasks once these are done
     And x gets 12 tasks once these are done
 
+  Scenario: a returning runner stays in use while too many others are ejected
+    Given the uneven runners x:a:r1:1.0:64 y:a:r2:1.0:64
+    When x turns slow
+    And 1.1 s pass for the runners
+    Then x gets 1 task
+    And x gets 2 tasks once these are done
+    When y turns slow
+    And the orders of these are unanswered
+    Then x gets 2 tasks
+
   Scenario: a probe that takes far too long doesn't restore a runner
     Given the uneven runners x:a:r1:1.0:64 y:a:r2:1.0:64
     When x turns slow
--- a/features/steps/runner_speed_steps.py
+++ b/features/steps/runner_speed_steps.py
@@ -276,9 +276,9 @@
     assert stops == ["straggling"] * count, stops
 
 
-@when("x turns slow")
-def turn_slow(context):
-    context.scheduler.update_speed("x", 8.0, context.now, samples=32)
+@when("{runner:w} turns slow")
+def turn_slow(context, runner):
+    context.scheduler.update_speed(runner, 8.0, context.now, samples=32)
 
 
 @step("{seconds:g} s pass for the runners")
@@ -330,18 +330,26 @@
             context.scheduler.record_task_end("x", each, job, how, context.now)
 
 
-@when("the orders of the 3 tasks are unanswered")
-def fail_earlier(context):
-    for task in context.earlier:
+def leave_unanswered(context, tasks):
+    for task in tasks:
         job = task.partition(".")[0]
         context.scheduler.record_task_end("x", task, job, "unanswered", context.now)
 
 
+@when("the orders of the 3 tasks are unanswered")
+def fail_earlier(context):
+    leave_unanswered(context, context.earlier)
+
+
+@when("the orders of these are unanswered")
+def fail_placed(context):
+    leave_unanswered(context, context.placed)
+
+
 @when("a later order is unanswered")
 def fail_later(context):
     submit(context, 1)
-    context.earlier = list(context.placed)
-    fail_earlier(context)
+    fail_placed(context)
 
 
 @given("a replay of 60 runners of speeds 1.0, 1.0 and 1.3 at {load:d}% load")
--- a/src/daisyfall/policy/_runner_health.py
+++ b/src/daisyfall/policy/_runner_health.py
@@ -3,7 +3,7 @@
 A runner that fails tasks of several jobs in a row, or on which tasks are far behind, is ejected:
 it gets no tasks for a time that grows with each ejection, then one task as a probe. Once the probe
 has succeeded it gets work back step by step: at most two tasks at a time, then four, and so on. If
-too many runners are ejected already, a slow one stays in use; the placement prefers faster ones.
+too many runners are ejected already, another one stays in use; the placement prefers faster ones.
 """
 
 import enum
@@ -141,11 +141,11 @@
             self._eject(now, may_eject=may_eject)
 
     def _eject(self, now: float, *, may_eject: bool) -> None:
-        """Eject the runner again, or for the first time if `may_eject`."""
+        """Eject the runner if it is not in use anyway, or if `may_eject`."""
+        if self.is_in_use and not may_eject:
+            return
         if self.state is not State.HEALTHY:
             self.ejection_s = min(2 * self.ejection_s, MAX_EJECTION_S)
-        elif not may_eject:
-            return
         self.state = State.EJECTED
         self.task_limit = 0
         self.next_probe_at = now + self.ejection_s
