--- a/features/runner_speed.feature
+++ b/features/runner_speed.feature
@@ -131,7 +131,7 @@
     Then x gets 0 tasks
 
   # Tasks that began before the fault would otherwise hide that all new ones fail.
-  Scenario: tasks that were placed before a runner became faulty don't speak for it
+  Scenario: tasks that were placed before a runner became faulty don't clear its failures
     Given the uneven runners x:a:r1:1.0:60
     And 3 tasks run on x
     When 0.5 s pass for the runners
--- a/features/shortage.feature
+++ b/features/shortage.feature
@@ -91,7 +91,7 @@
     When 40 random loads are replayed
     Then no refused job had a started task
 
-  Scenario: no job waits past the moment when it is hopeless, whatever arrives
+  Scenario: no job waits past its latest start, whatever arrives
     When 40 random loads are replayed
     Then no job waits past its latest start before it is refused
 
--- a/src/daisyfall/policy/_shortage.py
+++ b/src/daisyfall/policy/_shortage.py
@@ -219,20 +219,20 @@
         if not self.is_predictable():
             self._margin_by_lane.clear()
             return []
-        hopeless: list[_job_queue.TaskBatch] = []
+        displaced: list[_job_queue.TaskBatch] = []
         for key, lane in self._queue.lane_by_key.items():
             if reviews_all or self._margin_by_lane.get(key, 0.0) < 0:
-                self._margin_by_lane[key] = self._review_lane(key, lane, hopeless, now)
-        return hopeless
+                self._margin_by_lane[key] = self._review_lane(key, lane, displaced, now)
+        return displaced
 
     def _review_lane(
         self,
         key: tuple[bool, int],
         lane: _job_queue.Lane,
-        hopeless: list[_job_queue.TaskBatch],
+        displaced: list[_job_queue.TaskBatch],
         now: float,
     ) -> float:
-        """Collect the hopeless jobs of a lane; return the least margin of the others."""
+        """Collect the displaced jobs of a lane; return the least margin of the others."""
         cpu, core_seconds, least = 0, 0.0, math.inf
         if not lane.batches:
             return least
@@ -248,7 +248,7 @@
                 free = self._room_for(batch, now) if batch.min_cpu <= most_free else 0
                 margin = self._margin(batch, free, ahead, within_s, now)
                 if margin < 0:
-                    hopeless.append(batch)
+                    displaced.append(batch)
                     continue
                 least = min(least, margin)
             cpu += batch.cpu
--- a/src/daisyfall/request/_job_limits.py
+++ b/src/daisyfall/request/_job_limits.py
@@ -86,10 +86,6 @@
         )
         return least_urgent, _refused(_entry_limits.ENTRY_FULL, after_s)
 
-    def record_request(self, job: _pool_jobs.Job, now: float) -> None:
-        """Record that placement of some of a job's tasks is requested."""
-        job.requested_at = now
-
     def record_placement(self, job: _pool_jobs.Job, now: float) -> None:
         """Record a placement that arrived for a job."""
         if not job.has_dispatched:
--- a/src/daisyfall/request/_pool_job_manager.py
+++ b/src/daisyfall/request/_pool_job_manager.py
@@ -285,7 +285,7 @@
             self._finish(job, _pool_jobs.Answer(_pool_jobs.Outcome.FAILED, CRASHES_RUNNERS))
         elif tasks:
             now = _clock.monotonic()
-            self.limits.record_request(job, now)
+            job.requested_at = now
             batch = job.request_placement(tasks, self._entry_id)
             batch.served = self._served.recent(batch.route, now)
             self._callbacks.place(batch)
