--- a/review/world/deployment.py
+++ b/review/world/deployment.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -100,7 +101,7 @@
         self.session = await self._stack.enter_async_context(
             aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0, force_close=True))
         )
-        await self.serve(self.store.application(), self.store_address)
+        self._old_store = await self.serve(self.store.application(), self.store_address)
         self.configure(1)
         for index, (name, ip) in enumerate(self.agent_ips.items()):
             runner = platform.Runner(
@@ -125,6 +126,8 @@
                 process.kill()
             process.wait()
         await self._stack.aclose()
+        if not os.environ.get("KEEP_LOGS"):
+            shutil.rmtree(self._directory, ignore_errors=True)
 
     def spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
@@ -137,6 +140,19 @@
         self._stack.push_async_callback(server.cleanup)
         host, _, port = address.partition(":")
         await web.TCPSite(server, host, int(port)).start()
+        return server
+
+    async def move_store(self):
+        """Serve the store at another address too, and write that into all settings files."""
+        self.store_address = f"{self._network}.201:{STORE_PORT}"
+        await self.serve(self.store.application(), self.store_address)
+        for name, ip in {**self.entry_ips, **self.agent_ips}.items():
+            (self._directory / f"{name}.conf").write_text(self._settings(name, ip, name in self.entry_ips))
+        self.record.note(f"settings files changed: the store is at {self.store_address}")
+
+    async def close_old_store(self):
+        await self._old_store.cleanup()
+        self.record.note("the old address of the store refuses connections")
 
     def configure(self, version, routes=None):
         """Write a configuration as the operator does."""
@@ -272,7 +288,7 @@
     generator = random.Random(os.getpid() * 1_000_003 + time.time_ns())
     wanted = [(10 + n, port) for n in range(entries) for port in (FRONT_PORT, READY_PORT, METRICS_PORT, PORT_RANGE[0])]
     wanted += [(50 + n, port) for n in range(agents) for port in (RUNNER_PORT, CONTROL_PORT, METRICS_PORT, PORT_RANGE[0] + 1)]
-    wanted.append((200, STORE_PORT))
+    wanted += [(200, STORE_PORT), (201, STORE_PORT)]
     for _ in range(50):
         network = f"127.{generator.randint(20, 250)}.{generator.randint(1, 250)}"
         with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
