Review, case 2: tasks moved from a slow runner run twice

Shown: TWICE is broken when runners turn slow. The agent counts a run that it has just stopped as ended, since it measures how long the run is missing from the runner's lists from the time at which a long poll was asked for, and the entry starts the task elsewhere while the first run is still at work.

Stand-ins write record.txt at the end only, so that a disk doesn't hold them up.

--- a/review/world/deployment.py
+++ b/review/world/deployment.py
@@ -42,7 +42,8 @@
     """What was sent, answered and run, with seconds since the start of the script."""
 
     def __init__(self, path):
-        self._file = open(path, "w", buffering=1)
+        self._path = path
+        self._lines = []
         self._origin = time.monotonic()
         self.runs = []  # dicts: runner, task, run, began, ended, how
 
@@ -50,7 +51,11 @@
         return time.monotonic() - self._origin
 
     def note(self, text):
-        self._file.write(f"{self.now():9.3f}  {text}\n")
+        self._lines.append(f"{self.now():9.3f}  {text}\n")
+
+    def save(self):
+        """Write the file, at the end only: a slow disk would hold up all stand-ins."""
+        self._path.write_text("".join(self._lines))
 
     def run_began(self, runner, task, number):
         self.runs.append({"runner": runner, "task": task, "run": number, "began": self.now(), "ended": None})
@@ -317,6 +322,8 @@
     except BaseException as error:  # the case couldn't run, whatever the reason
         record.note(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
+        record.save()
         raise SystemExit(2) from error
+    record.save()
     print("held" if held else "broken")
     raise SystemExit(0 if held else 1)
--- a/review/world/platform.py
+++ b/review/world/platform.py
@@ -112,6 +112,7 @@
         self._lease_until_ms = 0.0
         self._sequence = 0
         self.running = {}
+        self.factor = 1.0
         self._highest = {}
         self._ends = []
         self._end_number = 0
@@ -125,6 +126,19 @@
             application.router.add_post(path, self._checked(handler))
         return application
 
+    def stop_ms(self) -> float:
+        """Return how long the next stop takes."""
+        return STOP_MS
+
+    def slow_down(self, factor: float):
+        """Let all work take `factor` times as long from now on."""
+        now = self.clock_ms()
+        for run in self.running.values():
+            done = (now - run["began_ms"]) / run["ms"]
+            run["ms"] = run["work_ms"] * factor
+            run["began_ms"] = now - done * run["ms"]
+        self.factor = factor
+
     def heartbeat(self) -> dict:
         self._sequence += 1
         return {
@@ -178,7 +192,8 @@
         self.running[task] = {
             "run": number,
             "cpu": work["cpu"],
-            "ms": work["ms"],
+            "work_ms": work["ms"],
+            "ms": work["ms"] * self.factor,
             "began_ms": self.clock_ms(),
             "stop_at_ms": None,
         }
@@ -190,7 +205,7 @@
         self._highest[task] = max(self._highest.get(task, 0), number)
         run = self.running.get(task)
         if run is not None and run["run"] <= number and run["stop_at_ms"] is None:
-            run["stop_at_ms"] = self.clock_ms() + STOP_MS
+            run["stop_at_ms"] = self.clock_ms() + self.stop_ms()
         return self._answer()
 
     async def _hold(self, body):
