Use an announced runner only after it has answered

Cause: an agent took any heartbeat with another id and a later birth for a new incarnation of its runner and ended all runs there. A changed address or pool under the runner's own id had the same way in, and a foreign heartbeat that came first kept the true runner out for good.

Change: only heartbeats with the identity of the runner in use are applied. Others announce a candidate, which is called at its address before it is used; the runner in use is replaced when another incarnation answers at its address, or when it is silent and its lease has expired. RunnerSession had outgrown a module, so its lease, callbacks and background calls have modules of their own now.

--- a/features/pool_stand_ins.py
+++ b/features/pool_stand_ins.py
@@ -87,9 +87,9 @@
     It lists what was started as running until it is stopped or listed in `ended`.
     """
 
-    def __init__(self, _heartbeat, *, confirms_stops: bool = True):
+    def __init__(self, heartbeat, *, confirms_stops: bool = True):
         self.confirms_stops = confirms_stops
-        self.born_ms = 1
+        self.born_ms = heartbeat.born_ms
         self.started: list[str] = []
         self.running: list[str] = []
         self.ended: tuple[_leased_runner.EndedRun, ...] = ()
--- a/features/steps/pool_leases_steps.py
+++ b/features/steps/pool_leases_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from daisyfall import _clock, _pool_wire
-from daisyfall.process import _leased_runner, _pool_metrics, _runner_session
+from daisyfall.process import _leased_runner, _pool_metrics, _runner_callbacks, _runner_session
 
 BOUNDS = pool_stand_ins.BOUNDS
 
@@ -32,11 +32,14 @@
             BOUNDS, 1.5, 1, connect, _pool_metrics.PoolMetrics()
         )
         context.crashes = []
+        context.ends = []
         context.session.set_callbacks(
-            lambda _ends: None,
-            lambda: None,
-            lambda: None,
-            lambda crash_id, runs: context.crashes.append((crash_id, runs)),
+            _runner_callbacks.RunnerCallbacks(
+                on_runs_ended=context.ends.extend,
+                on_availability_changed=lambda: None,
+                check_pause=lambda: None,
+                on_crashed=lambda crash_id, runs: context.crashes.append((crash_id, runs)),
+            )
         )
         context.session.handle_heartbeat(pool_stand_ins.runner_heartbeat())
         await asyncio.sleep(0.05)
@@ -78,7 +81,7 @@
 @then("the agent assumes that the runs continue for the lease of the last start order")
 def check_lease(context):
     min_lease_until = context.runner.ordered_at + _runner_session.START_LEASE_MS / 1000
-    assert context.session.lease_until >= min_lease_until
+    assert context.session.lease.until >= min_lease_until
 
 
 @when("the runner lists the task as end 7")
--- a/src/daisyfall/platform/_runner_api.py
+++ b/src/daisyfall/platform/_runner_api.py
@@ -22,6 +22,7 @@
         heartbeat = _runner.decode_heartbeat(runner_id, body)
         if heartbeat is None:
             loguru.logger.bind(runner=runner_id[:60]).warning("invalid heartbeat")
+            agent.metrics.count_ignored_heartbeat("invalid")
         else:
             agent.handle_heartbeat(heartbeat)
         return web.json_response({})
--- a/src/daisyfall/process/_leased_runner.py
+++ b/src/daisyfall/process/_leased_runner.py
@@ -46,9 +46,19 @@
     token: int
 
 
+@attrs.frozen
+class RunnerIdentity:
+    """What stays the same while a runner lives; `id` and `born_ms` identify its incarnation."""
+
+    id: str
+    born_ms: int
+    pool: str
+    address: str
+
+
 @attrs.frozen
 class RunnerHeartbeat:
-    """One heartbeat of a runner; `born_ms` and `id` identify its incarnation."""
+    """One heartbeat of a runner; see `RunnerIdentity`."""
 
     id: str
     born_ms: int
@@ -62,6 +72,15 @@
     remaining_ms: int
     sequence: int
 
+    @property
+    def identity(self) -> RunnerIdentity:
+        """Return the identity that the heartbeat claims."""
+        return RunnerIdentity(self.id, self.born_ms, self.pool, self.address)
+
+    def is_same_incarnation(self, other: "RunnerHeartbeat") -> bool:
+        """Return whether both heartbeats are from the same incarnation of a runner."""
+        return (self.id, self.born_ms) == (other.id, other.born_ms)
+
 
 @attrs.frozen
 class RunProgress:
@@ -91,6 +110,11 @@
     running: tuple[RunProgress, ...]
     ended: tuple[EndedRun, ...]
 
+    def is_of_other_incarnation(self, heartbeat: RunnerHeartbeat) -> bool:
+        """Return whether a runner has answered that was restarted under the same id."""
+        is_known = bool(self.born_ms and heartbeat.born_ms)
+        return is_known and self.born_ms != heartbeat.born_ms
+
 
 @attrs.frozen
 class RenewalFailed:
--- a/src/daisyfall/process/_pool_agent.py
+++ b/src/daisyfall/process/_pool_agent.py
@@ -16,6 +16,8 @@
     _pause_detector,
     _pool_metrics,
     _pool_settings,
+    _runner_callbacks,
+    _runner_candidates,
     _runner_session,
     _ticker,
 )
@@ -53,7 +55,7 @@
     def __init__(
         self,
         settings: _pool_settings.AgentSettings,
-        connect_runner: _runner_session.ConnectRunner,
+        connect_runner: _runner_candidates.ConnectRunner,
         metrics: _pool_metrics.PoolMetrics,
     ):
         self.settings = settings
@@ -82,10 +84,12 @@
             self._tick, self._tick_interval_s, metrics.count_internal_error, "tick"
         )
         self._runner.set_callbacks(
-            self._report_ends,
-            self._report_changes,
-            self._pause_detector.check,
-            self._report_crash,
+            _runner_callbacks.RunnerCallbacks(
+                on_runs_ended=self._report_ends,
+                on_availability_changed=self._report_changes,
+                check_pause=self._pause_detector.check,
+                on_crashed=self._report_crash,
+            )
         )
 
     # Life cycle.
--- a/src/daisyfall/process/_pool_metrics.py
+++ b/src/daisyfall/process/_pool_metrics.py
@@ -25,6 +25,9 @@
         self._renewal_failures = self._counter(
             "pool_failed_renewals", "Failed lease renewals", "reason"
         )
+        self._ignored_heartbeats = self._counter(
+            "pool_ignored_heartbeats", "Runners' heartbeats that are not used", "reason"
+        )
         self._store_errors = self._counter("pool_store_errors", "Failed store calls", "reason")
         self._link_errors = self._counter(
             "pool_link_errors", "Rejected handshakes and messages of peers", "reason"
@@ -67,6 +70,10 @@
         """Count one failed lease renewal."""
         self._renewal_failures.add(reason)
 
+    def count_ignored_heartbeat(self, reason: str) -> None:
+        """Count one heartbeat that names no runner to use, or another one than that in use."""
+        self._ignored_heartbeats.add(reason)
+
     def count_store_error(self, reason: str) -> None:
         """Count one failed call to the store."""
         self._store_errors.add(reason)
--- a/src/daisyfall/process/_runner_session.py
+++ b/src/daisyfall/process/_runner_session.py
@@ -1,15 +1,21 @@
 """A pool agent's session with its local runner: incarnations, start and stop orders, leases."""
 
 import asyncio
-import contextlib
-from collections.abc import Callable
 
 import attrs
 import loguru
 
 from daisyfall import _clock
 from daisyfall.policy import _bounds, _departures
-from daisyfall.process import _call_health, _leased_runner, _pool_metrics
+from daisyfall.process import (
+    _background_tasks,
+    _call_health,
+    _leased_runner,
+    _pool_metrics,
+    _runner_callbacks,
+    _runner_candidates,
+    _runner_lease,
+)
 from daisyfall.request import _run, _runs
 
 # A lease renewal is a long poll: the runner answers when a run ends, at the latest after this
@@ -31,14 +37,11 @@
 # many renewals in a row have failed.
 FAILED_RENEWALS_UNTIL_LOST = 2
 
-ConnectRunner = Callable[[_leased_runner.RunnerHeartbeat], _leased_runner.LeasedRunner]
-
 
 class RunnerSession:
     """Starts, stops and tracks runs at the current incarnation of the runner.
 
-    Raises its fencing token if the runner has seen a higher one. The runner ends all runs by
-    `lease_until` unless the lease is renewed.
+    Raises its fencing token if the runner has seen a higher one.
     """
 
     def __init__(
@@ -46,7 +49,7 @@
         bounds: _bounds.Bounds,
         heartbeat_s: float,
         token: int,
-        connect: ConnectRunner,
+        connect: _runner_candidates.ConnectRunner,
         metrics: _pool_metrics.PoolMetrics,
         *,
         remote_factor: float = 1.0,
@@ -54,43 +57,33 @@
         self.runs = _runs.Runs(bounds, remote_factor)
         self.heartbeat: _leased_runner.RunnerHeartbeat | None = None
         self._bounds = bounds
-        self._heartbeat_s = heartbeat_s
+        self._heartbeat_timeout_s = MAX_MISSED_HEARTBEATS * heartbeat_s
         self._token = token
-        self._connect_runner = connect
         self._metrics = metrics
         self._heartbeat_at = 0.0
         self._runner: _leased_runner.LeasedRunner | None = None
         self._is_connected = False
-        self._clock_offset_ms = 0.0
         self._last_answer_at = 0.0
-        self.lease_until = 0.0
+        self.lease = _runner_lease.RunnerLease()
         self._failed_renewals = 0
         self._health = _call_health.CallHealth()
         # Until then, runs that the agent doesn't know may use capacity.
         self._unknown_runs_until = 0.0
         # What ran on a runner that fell silent, until it is known whether it crashed.
         self._lost_runs: list[list] = []
-        self._tasks: set[asyncio.Task] = set()
+        self._candidates = _runner_candidates.RunnerCandidates(
+            connect,
+            lambda: self._token,
+            self._heartbeat_timeout_s,
+            self._consider_runner,
+            self._ignore_heartbeat,
+        )
+        self._calls = _background_tasks.BackgroundTasks("a call to the runner")
         self._renewal_task: asyncio.Task | None = None
 
-    def set_callbacks(
-        self,
-        on_runs_ended: Callable[[list[_run.RunEnd]], None],
-        on_availability_changed: Callable[[], None],
-        check_pause: Callable[[], None],
-        on_crashed: Callable[[str, list[list]], None],
-    ) -> None:
-        """Set the callbacks; must be called before the first heartbeat.
-
-        `on_runs_ended` receives ended and refused runs. `on_availability_changed` is called when
-        the runner's capacity or its readiness for tasks may have changed. `check_pause` is
-        called before the lists of an answer are processed. `on_crashed` receives the name of a
-        crashed incarnation and `Runs.crashed_runs`.
-        """
-        self._on_runs_ended = on_runs_ended
-        self._on_availability_changed = on_availability_changed
-        self._check_pause = check_pause
-        self._on_crashed = on_crashed
+    def set_callbacks(self, callbacks: _runner_callbacks.RunnerCallbacks) -> None:
+        """Set the callbacks into the agent; called before the first heartbeat."""
+        self._callbacks = callbacks
 
     def unavailable_reason(self, now: float) -> str:
         """Return the reason why the runner gets no tasks, `""` if it is available."""
@@ -98,26 +91,57 @@
             return _run.NO_RUNNER
         if self.heartbeat.is_draining:
             return _run.DRAINING
-        if now - self._heartbeat_at > MAX_MISSED_HEARTBEATS * self._heartbeat_s:
+        if not self._is_heartbeat_recent(now):
             return _run.NO_RUNNER
         return _run.UNHEALTHY if self._health.is_paused(now) else ""
 
+    def _is_heartbeat_recent(self, now: float) -> bool:
+        return now - self._heartbeat_at <= self._heartbeat_timeout_s
+
     def handle_heartbeat(self, heartbeat: _leased_runner.RunnerHeartbeat) -> None:
-        """Apply a heartbeat of the runner; one that is older than the last is ignored."""
-        previous = self.heartbeat
-        if previous is not None:
-            if heartbeat.born_ms < previous.born_ms:
-                return
-            is_same = heartbeat.born_ms == previous.born_ms and heartbeat.id == previous.id
-            if is_same and heartbeat.sequence <= previous.sequence:
-                return
-            if not is_same:
-                self._handle_crash()
-            if not is_same or heartbeat.address != previous.address:
-                self._replace_runner(heartbeat)
-        else:
-            self._replace_runner(heartbeat)
-        self.heartbeat = heartbeat
+        """Apply a heartbeat of the runner in use, or find out whether another one is to be used.
+
+        A heartbeat that is older than the last of its runner is ignored.
+        """
+        if self.heartbeat is None or heartbeat.identity != self.heartbeat.identity:
+            self._candidates.announce(heartbeat)
+        elif heartbeat.sequence > self.heartbeat.sequence:
+            self._apply_heartbeat(heartbeat)
+
+    def _ignore_heartbeat(self, heartbeat: _leased_runner.RunnerHeartbeat, reason: str) -> None:
+        log = loguru.logger.bind(runner=heartbeat.id, address=heartbeat.address, reason=reason)
+        log.bind(pool=heartbeat.pool, born_ms=heartbeat.born_ms).warning("heartbeat is ignored")
+        self._metrics.count_ignored_heartbeat(reason)
+
+    def _consider_runner(
+        self, heartbeat: _leased_runner.RunnerHeartbeat, runner: _leased_runner.LeasedRunner
+    ) -> bool:
+        """Use a runner that answers at its address; return False if the one in use is not gone."""
+        now = _clock.monotonic()
+        current = self.heartbeat
+        match _runner_candidates.replacement(
+            current,
+            heartbeat,
+            is_current_heard=self._is_heartbeat_recent(now),
+            is_current_lost=not self._is_connected and self.lease.has_expired(now),
+        ):
+            case _runner_candidates.Replacement.KEEP:
+                return False
+            case _runner_candidates.Replacement.UPDATE:
+                self._apply_heartbeat(heartbeat)
+                return True
+        if current is not None and not heartbeat.is_same_incarnation(current):
+            self._handle_crash()
+        log = loguru.logger.bind(runner=heartbeat.id, born_ms=heartbeat.born_ms, cpu=heartbeat.cpu)
+        log.info("new runner incarnation")
+        self._disconnect_runner()
+        self._runner = runner
+        self._apply_heartbeat(heartbeat)
+        self._renewal_task = asyncio.create_task(self._renew_forever(runner))
+        return True
+
+    def _apply_heartbeat(self, heartbeat: _leased_runner.RunnerHeartbeat) -> None:
+        previous, self.heartbeat = self.heartbeat, heartbeat
         self._heartbeat_at = _clock.monotonic()
         self.runs.capacity = (heartbeat.cpu, heartbeat.memory_mb, heartbeat.accelerators)
         self.runs.labels = heartbeat.labels
@@ -130,21 +154,14 @@
         if heartbeat.is_draining and (previous is None or not previous.is_draining):
             log = loguru.logger.bind(runner=heartbeat.id, remaining_ms=heartbeat.remaining_ms)
             log.info("runner is draining")
-            self._on_runs_ended(self.runs.reject_queued(_run.DRAINING))
-        self._on_availability_changed()
+            self._callbacks.on_runs_ended(self.runs.reject_queued(_run.DRAINING))
+        self._callbacks.on_availability_changed()
 
     def handle_deregistration(self, runner_id: str) -> None:
         """Stop using the runner, which has deregistered."""
         if self.heartbeat is not None and self.heartbeat.id == runner_id:
             self.heartbeat = attrs.evolve(self.heartbeat, is_draining=True)
-            self._on_availability_changed()
-
-    def _replace_runner(self, heartbeat: _leased_runner.RunnerHeartbeat) -> None:
-        log = loguru.logger.bind(runner=heartbeat.id, born_ms=heartbeat.born_ms, cpu=heartbeat.cpu)
-        log.info("new runner incarnation")
-        self._disconnect_runner()
-        self._runner = self._connect_runner(heartbeat)
-        self._renewal_task = asyncio.create_task(self._renew_forever(self._runner))
+            self._callbacks.on_availability_changed()
 
     def _disconnect_runner(self) -> None:
         if self._renewal_task is not None:
@@ -153,20 +170,20 @@
         self._runner = None
         now = _clock.monotonic()
         self._lost_runs = []
-        self._on_runs_ended(self.runs.clear(_run.LOST, now))
-        self._on_runs_ended(self.runs.reject_queued(_run.LOST))
+        self._callbacks.on_runs_ended(self.runs.clear(_run.LOST, now))
+        self._callbacks.on_runs_ended(self.runs.reject_queued(_run.LOST))
 
     def _handle_crash(self) -> None:
         """End all runs of a runner that is gone, and report them as crashed unless it has left."""
         now = _clock.monotonic()
         if self.heartbeat.is_draining:
-            self._on_runs_ended(self.runs.lose_runner(_run.LOST, now))
+            self._callbacks.on_runs_ended(self.runs.lose_runner(_run.LOST, now))
             return
         runs = self._lost_runs + self.runs.crashed_runs(now)
         self._lost_runs = []
         if runs:
-            self._on_crashed(f"{self.heartbeat.id}/{self.heartbeat.born_ms}", runs)
-        self._on_runs_ended(self.runs.lose_runner(_run.CRASHED, now))
+            self._callbacks.on_crashed(f"{self.heartbeat.id}/{self.heartbeat.born_ms}", runs)
+        self._callbacks.on_runs_ended(self.runs.lose_runner(_run.CRASHED, now))
 
     def start_queued(self) -> None:
         """Send start orders for the queued tasks that fit into the free capacity."""
@@ -178,18 +195,13 @@
         if not self._may_renew_lease(now):
             return
         for run in self.runs.pop_startable(now):
-            self._spawn(self._start_run(self._runner, run))
-
-    def _runner_clock_ms(self) -> int:
-        """Return an estimate of the runner's clock that is never ahead of it."""
-        return int(_clock.monotonic() * 1000 + self._clock_offset_ms)
+            self._calls.spawn(self._start_run(self._runner, run))
 
     async def _start_run(self, runner: _leased_runner.LeasedRunner, run: _run.Run) -> None:
         order = run.order
         sent_at = _clock.monotonic()
-        lease_until_ms = self._runner_clock_ms() + START_LEASE_MS
-        lease_s = START_LEASE_MS / 1000 * _bounds.CLOCK_DRIFT + _bounds.MARGIN_S
-        self.lease_until = max(self.lease_until, sent_at + lease_s)
+        lease_s = START_LEASE_MS / 1000
+        lease_until_ms = self.lease.extend(lease_s, sent_at)
         answer, clock_ms = await runner.start(
             _leased_runner.StartOrder(
                 order.task, run.number, order.payload, lease_until_ms, self._token
@@ -210,7 +222,7 @@
             case _leased_runner.CallOutcome.STARTED:
                 self.runs.started(run, now)
             case _leased_runner.CallOutcome.UNANSWERED:
-                self.runs.unanswered(run, sent_at + lease_s)
+                self.runs.unanswered(run, _runner_lease.expiry(lease_s, sent_at))
                 self._handle_failed_call(answer, now)
                 await self._resolve_unanswered_start(runner, run)
             case _:
@@ -248,21 +260,21 @@
                 loguru.logger.bind(token=self._token).warning("fencing token was too low")
             case _leased_runner.CallOutcome.UNHEALTHY | _leased_runner.CallOutcome.UNREACHABLE:
                 self._health.pause(now)
-                self._on_availability_changed()
+                self._callbacks.on_availability_changed()
             case _leased_runner.CallOutcome.UNANSWERED:
                 if self._health.record_unanswered(now):
-                    self._on_availability_changed()
+                    self._callbacks.on_availability_changed()
 
     def _end_run(self, run: _run.Run, outcome: str, now: float) -> None:
         ended = self.runs.finish(run, outcome, now)
         if ended is not None:
-            self._on_runs_ended([ended])
+            self._callbacks.on_runs_ended([ended])
 
     def send_stops(self, now: float) -> None:
         """Send the stop orders that are due."""
         if self._runner is not None:
             for run in self.runs.due_stops(now):
-                self._spawn(self._stop_run(self._runner, run))
+                self._calls.spawn(self._stop_run(self._runner, run))
 
     async def _stop_run(self, runner: _leased_runner.LeasedRunner, run: _run.Run) -> None:
         is_confirmed = await runner.stop(run.task, run.number, self._token, self._health.timeout_s)
@@ -273,7 +285,7 @@
         """Update the clock offset from an answer that has just arrived."""
         if clock_ms:
             self._health.record_answer()
-            self._clock_offset_ms = clock_ms - _clock.monotonic() * 1000
+            self.lease.sync_clock(clock_ms, _clock.monotonic())
 
     async def _renew_forever(self, runner: _leased_runner.LeasedRunner) -> None:
         """Renew the lease and read the lists of runs until the runner is replaced."""
@@ -282,10 +294,7 @@
             wait_ms = RENEWAL_WAIT_MS if self.runs.run_by_task else IDLE_RENEWAL_WAIT_MS
             lease_until_ms = None
             if self._may_renew_lease(requested_at):
-                lease_s = self._bounds.lease_s
-                lease_until_ms = self._runner_clock_ms() + int(lease_s * 1000)
-                expires_at = requested_at + lease_s * _bounds.CLOCK_DRIFT + _bounds.MARGIN_S
-                self.lease_until = max(self.lease_until, expires_at)
+                lease_until_ms = self.lease.extend(self._bounds.lease_s, requested_at)
             snapshot = await runner.renew_lease(
                 lease_until_ms,
                 self._token,
@@ -297,7 +306,9 @@
                 return
             try:
                 match snapshot:
-                    case _leased_runner.RunSnapshot() if self._is_other_incarnation(snapshot):
+                    case _leased_runner.RunSnapshot() if snapshot.is_of_other_incarnation(
+                        self.heartbeat
+                    ):
                         self._lose_incarnation()
                         await asyncio.sleep(RESTARTED_RETRY_S)
                     case _leased_runner.RunSnapshot():
@@ -317,8 +328,8 @@
         requested_at: float,
     ) -> None:
         now = _clock.monotonic()
-        self._check_pause()
-        if self._is_other_incarnation(snapshot):
+        self._callbacks.check_pause()
+        if snapshot.is_of_other_incarnation(self.heartbeat):
             return
         self._sync_clock(snapshot.clock_ms)
         self._last_answer_at = now
@@ -327,20 +338,17 @@
         if not self._is_connected:
             self._is_connected = True
             loguru.logger.bind(running=len(snapshot.running)).info("runner answers")
-        self._on_runs_ended(self.runs.apply_snapshot(snapshot, requested_at, now))
+        self._callbacks.on_runs_ended(self.runs.apply_snapshot(snapshot, requested_at, now))
         self.runs.mark_rescheduled(now)
         for orphan in self.runs.orphans(snapshot):
             self._unknown_runs_until = now + self._bounds.max_stopping_s
             loguru.logger.bind(task=orphan.task, run=orphan.run).warning("stopping an unknown run")
-            self._spawn(runner.stop(orphan.task, orphan.run, self._token, self._health.timeout_s))
-        self._on_availability_changed()
+            self._calls.spawn(
+                runner.stop(orphan.task, orphan.run, self._token, self._health.timeout_s)
+            )
+        self._callbacks.on_availability_changed()
         self.start_queued()
 
-    def _is_other_incarnation(self, snapshot: _leased_runner.RunSnapshot) -> bool:
-        """Return whether a runner that was restarted under the same id has answered."""
-        born_ms = self.heartbeat.born_ms
-        return bool(born_ms and snapshot.born_ms and snapshot.born_ms != born_ms)
-
     def _lose_incarnation(self) -> None:
         """End all runs of an incarnation that is gone, until a heartbeat announces the next one.
 
@@ -352,7 +360,7 @@
         self._is_connected = False
         self.runs.acknowledged = 0
         self._handle_crash()
-        self._on_availability_changed()
+        self._callbacks.on_availability_changed()
 
     def _may_renew_lease(self, now: float) -> bool:
         """Return whether the lease of the runs may be renewed.
@@ -372,7 +380,7 @@
             failure.reason is _leased_runner.CallOutcome.UNREACHABLE
             and self._failed_renewals >= FAILED_RENEWALS_UNTIL_LOST
         )
-        if is_process_dead or now > self.lease_until:
+        if is_process_dead or self.lease.has_expired(now):
             if self.runs.run_by_task:
                 log = loguru.logger.bind(
                     reason=failure.reason.value, tasks=len(self.runs.run_by_task)
@@ -384,16 +392,5 @@
             else:
                 # A silent runner may be cut off only.
                 self._lost_runs += self.runs.crashed_runs(now)
-                self._on_runs_ended(self.runs.lose_runner(_run.LOST, now))
+                self._callbacks.on_runs_ended(self.runs.lose_runner(_run.LOST, now))
         await asyncio.sleep(RENEWAL_RETRY_S)
-
-    def _spawn(self, coroutine) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        with contextlib.suppress(asyncio.CancelledError):
-            if task.exception() is not None:
-                loguru.logger.opt(exception=task.exception()).error("a call to the runner failed")
