Wait out a stop from the lists that came after it

Cause: a run that is being stopped is in neither list of its runner. The agent took it for ended once it had been missing for the longest duration of a stop, counted from the request of the first lists without it. That request may be a long poll from before the stop. For an unanswered start, lists from before the end of its lease counted as well.

Change: the time counts from the arrival of the first lists without the run to the request of the last ones, and for an unanswered start from the end of its lease or the confirmation of its stop on. The stand-in of the runner leaves out runs that are being stopped, as the platform's does, and takes 5 to 48 ms for a stop.

Two new scenarios of features/pool_runs.feature fail on. The scenario of an unanswered order's lease asks for one more list: a late stop may be in progress when the first lists after the lease are made.

--- a/features/pool_runs.feature
+++ b/features/pool_runs.feature
@@ -30,6 +30,8 @@
     Then no end is reported
     And a new task of 1000 is not started
     When the runner lists nothing running, asked 0.5 s later
+    Then no end is reported
+    When the runner lists nothing running, asked 0.07 s later
     Then the reported ends are j.0.0:unanswered
 
   Scenario: an unanswered run has ended when its stop is confirmed and the next lists lack it
@@ -52,6 +54,31 @@
     When the runner lists end 1 of j.0.0 as stopped
     Then the reported ends are j.0.0:unanswered
 
+  # The answer to a long poll may be older than the stop. A run that counted as ended too early was at
+  # work twice: its task was placed again up to the longest duration of a stop before its end.
+  Scenario: the lists of a long poll from before a stop don't end the stopped run
+    When entry e orders task j.0.0 of 4000
+    And its start is confirmed
+    And 0.2 s pass at the agent
+    Then a stop of j.0.0 is due after it was moved
+    When the runner lists nothing running, asked 0.1 s ago
+    And 0.03 s pass at the agent
+    And the runner lists nothing running, asked 0.02 s ago
+    Then no end is reported
+    When the runner lists end 1 of j.0.0 as stopped
+    Then the reported ends are j.0.0:straggling
+
+  Scenario: lists from before the end of an unanswered order's lease don't end its run
+    When entry e orders task j.0.0 of 4000
+    And its start is not answered
+    And the runner lists nothing running, asked 0.01 s later
+    And the runner lists nothing running, asked 0.3 s later
+    And the stop of j.0.0 is confirmed
+    And the runner lists nothing running, asked 0.01 s later
+    Then no end is reported
+    When the runner lists end 1 of j.0.0 as stopped
+    Then the reported ends are j.0.0:unanswered
+
   Scenario: a run continues if the answer to its start was lost but the runner lists it
     When entry e orders task j.0.0 of 4000
     And the runner lists j.0.0 at 10 percent, asked 0.01 s later
--- a/features/steps/pool_runs_steps.py
+++ b/features/steps/pool_runs_steps.py
@@ -82,6 +82,18 @@
     apply_snapshot(context, (_leased_runner.RunProgress(task, 1, percent),), (), seconds)
 
 
+@when("the runner lists nothing running, asked {seconds:g} s ago")
+def list_nothing_late(context, seconds):
+    snapshot = _leased_runner.RunSnapshot(context.now * 1000, 1, (), ())
+    record_ends(context, context.runs.apply_snapshot(snapshot, context.now - seconds, context.now))
+
+
+@then("a stop of {task} is due after it was moved")
+def move_run(context, task):
+    context.runs.stop(task, "e", 1, _run.STRAGGLING)
+    assert [each.task for each in context.runs.due_stops(context.now)] == [task]
+
+
 def apply_snapshot(context, running, ended, seconds):
     context.now += seconds
     context.snapshot = _leased_runner.RunSnapshot(context.now * 1000, 1, running, ended)
--- a/src/daisyfall/process/_runner_session.py
+++ b/src/daisyfall/process/_runner_session.py
@@ -23,6 +23,8 @@
 RENEWAL_WAIT_MS = 100
 IDLE_RENEWAL_WAIT_MS = 300
 RENEWAL_RETRY_S = 0.01
+# By how much a timer of the event loop may fire early.
+TIMER_ERROR_S = 0.002
 # Interval of calls to a runner that was restarted under its id, until it announces itself.
 RESTARTED_RETRY_S = 0.1
 # The runner rejects a start order that it processes later than this after it was sent.
@@ -244,7 +246,7 @@
             return
         # A run that is being stopped is in neither list until it has ended, so the lists are
         # read a second time.
-        for delay_s in (0.0, self._bounds.max_stopping_s):
+        for delay_s in (0.0, self._bounds.max_stopping_s + TIMER_ERROR_S):
             await asyncio.sleep(delay_s)
             requested_at = _clock.monotonic()
             snapshot = await runner.renew_lease(
--- a/src/daisyfall/request/_run.py
+++ b/src/daisyfall/request/_run.py
@@ -22,8 +22,8 @@
 class Run:
     """One run; `entry` is the id and incarnation of the entry that ordered it.
 
-    `missing_since` is when the runner was first asked for lists that lacked the run, 0 if it is
-    listed. A `stop_reason` marks the run for stopping. `remote_factor` is how much longer the task
+    `missing_since` is when the first lists without the run arrived, 0 if it is listed. A
+    `stop_reason` marks the run for stopping. `remote_factor` is how much longer the task
     takes here than on its preferred rack.
     """
 
--- a/src/daisyfall/request/_runs.py
+++ b/src/daisyfall/request/_runs.py
@@ -354,14 +354,19 @@
     ) -> list[_run.RunEnd | None]:
         """Record that a run is not listed; return its end if it can't be stopping any more.
 
-        A run that is being stopped is in neither of the runner's lists until it has ended.
+        A run that is being stopped is in neither of the runner's lists until it has ended. An
+        answer may have been on its way for long, so the time counts from the arrival of the first
+        lists without the run to the request of the last ones.
         """
-        run.missing_since = run.missing_since or asked_at
+        is_unanswered = run.phase is _run.Phase.UNANSWERED
+        if is_unanswered and asked_at <= run.lease_until:
+            # The order may still take effect.
+            return []
+        if not run.missing_since:
+            run.missing_since = now
         if asked_at - run.missing_since <= self._bounds.max_stopping_s:
             return []
-        if run.phase is not _run.Phase.UNANSWERED:
-            return [self.finish(run, _run.LOST, now)]
-        return [self.finish(run, _run.UNANSWERED, now)] if asked_at > run.lease_until else []
+        return [self.finish(run, _run.UNANSWERED if is_unanswered else _run.LOST, now)]
 
     def _fits(self, order: _pool_wire.RunTask) -> bool:
         cpu, memory_mb, accelerators = self.capacity
--- a/src/daisyfall_standins/leased_runner.py
+++ b/src/daisyfall_standins/leased_runner.py
@@ -10,6 +10,7 @@
 import contextlib
 import itertools
 import json
+import random
 import time
 
 import aiohttp
@@ -19,7 +20,8 @@
 MAX_WAIT_MS = 2_000
 MAX_LEASE_MS = 1_000
 POLL_INTERVAL_S = 0.01
-STOP_DELAY_S = 0.02
+# A stop takes a time within this range, and the run is in neither list meanwhile.
+STOP_DELAY_RANGE_S = (0.005, 0.048)
 MAX_ENDS_PER_RESPONSE = 500
 HEARTBEAT_INTERVAL_S = 0.3
 CRASH_DOWN_S = 1.0
@@ -97,6 +99,7 @@
         self.rejection_reasons: list[str] = []
         self.address = ""
         self._down_until = 0.0
+        self._rng = random.Random(1)
         # When the agent answered a heartbeat, in seconds on the monotonic clock.
         self.heartbeats_read_at: collections.deque[float] = collections.deque(maxlen=100)
         self._reset()
@@ -282,7 +285,8 @@
         self.last_run_number_by_task[task] = max(self.last_run_number_by_task.get(task, 0), number)
         run = self.run_by_task.get(task)
         if run is not None and run.number <= number:
-            run.stop_at_ms = run.stop_at_ms or self.clock_ms() + STOP_DELAY_S * 1000
+            delay_ms = self._rng.uniform(*STOP_DELAY_RANGE_S) * 1000
+            run.stop_at_ms = run.stop_at_ms or self.clock_ms() + delay_ms
         return self._respond()
 
     async def _handle_hold(self, body: dict) -> web.Response:
@@ -294,7 +298,9 @@
         wait_until_ms = self.clock_ms() + min(body.get("WaitMs", 0), MAX_WAIT_MS)
         while not self.pending_ends and self.clock_ms() < wait_until_ms:
             await asyncio.sleep(POLL_INTERVAL_S)
-        running = [self._progress_row(run) for run in self.run_by_task.values()]
+        running = [
+            self._progress_row(run) for run in self.run_by_task.values() if not run.stop_at_ms
+        ]
         return self._respond(Running=running, Finished=self.pending_ends[:MAX_ENDS_PER_RESPONSE])
 
     def _progress_row(self, run: Run) -> list:
