End runs of a refusing runner with its lease, not at once

Cause: an agent took two failed renewals, the last of which was refused, for the end of its runner's process and gave up all runs there after some 20 ms. A runner that is cut off may refuse connections and run on.

Change: a run has ended by the runner's own lists, when another incarnation answers at its address (another birth, or status 421), or with its lease. Refused connections keep new tasks away; runs that are still refused when the lease has expired count as crashed, as before.

The scenario of a gone process refuses connections until the lease has expired now; it demanded the fault.

--- a/features/pool_leases.feature
+++ b/features/pool_leases.feature
@@ -33,11 +33,32 @@
 
   Scenario: a runner whose process is gone has crashed
     Given an agent whose runner runs a task of entry e and confirms no stop
-    When the runner's process refuses connections
+    When the runner refuses connections until its lease has expired
     Then a crash with the task is reported once
     When another incarnation of the runner announces itself
     Then a crash with the task is reported once
 
+  # A runner that is cut off may refuse connections and run on. All its tasks were placed again, and
+  # were at work twice until the lease had expired.
+  Scenario: the tasks of a runner that refuses connections for a moment go on
+    Given an agent whose runner runs a task of entry e and confirms no stop
+    When the runner refuses connections for 0.3 s
+    Then no run has ended and no crash is reported
+    When the runner answers again with its task
+    And entry f orders a task after the pause for unhealthy runners
+    Then the task of entry f is started
+    And no run has ended and no crash is reported
+
+  Scenario: the tasks of a runner that refuses connections end with its lease
+    Given an agent whose runner runs a task of entry e and confirms no stop
+    When the runner refuses connections until its lease has expired
+    Then the task has ended no earlier than the lease
+
+  Scenario: a runner at whose address another one answers has crashed
+    Given an agent whose runner runs a task of entry e and confirms no stop
+    When another runner answers at the address
+    Then a crash with the task is reported once
+
   Scenario: a runner that leaves has not crashed
     Given an agent whose runner runs a task of entry e and confirms no stop
     When the runner is draining
--- a/features/steps/pool_leases_steps.py
+++ b/features/steps/pool_leases_steps.py
@@ -7,7 +7,14 @@
 from behave import given, then, when
 
 from daisyfall import _clock, _pool_wire
-from daisyfall.process import _leased_runner, _pool_metrics, _runner_callbacks, _runner_session
+from daisyfall.process import (
+    _call_health,
+    _leased_runner,
+    _pool_metrics,
+    _runner_callbacks,
+    _runner_session,
+)
+from daisyfall.request import _run
 
 BOUNDS = pool_stand_ins.BOUNDS
 
@@ -126,20 +133,61 @@
     event_loop.run(context, replace())
 
 
-@when("the runner's process refuses connections")
-def refuse_connections(context):
+@when("the runner refuses connections for {seconds:g} s")
+def refuse_connections(context, seconds):
     context.runner.failure = _leased_runner.CallOutcome.UNREACHABLE
-    event_loop.run(context, asyncio.sleep(0.2))
+    event_loop.run(context, asyncio.sleep(seconds))
+
+
+@when("the runner refuses connections until its lease has expired")
+def refuse_until_expiry(context):
+    lose_runs(context, _leased_runner.CallOutcome.UNREACHABLE)
+
+
+@then("the task has ended no earlier than the lease")
+def check_end_with_lease(context):
+    assert [each.how for each in context.ends] == [_run.CRASHED], context.ends
+    assert context.runs_ended_at >= context.session.lease.until
+
+
+@when("another runner answers at the address")
+def answer_as_another(context):
+    context.runner.failure = _leased_runner.CallOutcome.REPLACED
+    event_loop.run(context, asyncio.sleep(0.1))
+    assert [each.how for each in context.ends] == [_run.CRASHED], context.ends
+
+
+@then("no run has ended and no crash is reported")
+def check_nothing_lost(context):
+    assert not context.ends, context.ends
+    assert not context.crashes, context.crashes
+
+
+@when("the runner answers again with its task")
+def answer_with_task(context):
+    context.runner.failure = None
+    event_loop.run(context, asyncio.sleep(0.1))
+
+
+@when("entry f orders a task after the pause for unhealthy runners")
+def order_after_pause(context):
+    event_loop.run(context, asyncio.sleep(_call_health.UNHEALTHY_PAUSE_S))
+    order(context, "k.0.0", "f")
 
 
 @when("the runner is silent until its lease has expired")
 def be_silent(context):
+    lose_runs(context, _leased_runner.CallOutcome.UNANSWERED)
+
+
+def lose_runs(context, failure):
     async def wait():
         async with asyncio.timeout(2.0):
             while context.session.runs.run_by_task:
-                await asyncio.sleep(0.02)
+                await asyncio.sleep(0.005)
+        context.runs_ended_at = _clock.monotonic()
 
-    context.runner.failure = _leased_runner.CallOutcome.UNANSWERED
+    context.runner.failure = failure
     event_loop.run(context, wait())
 
 
--- a/src/daisyfall/process/_runner_session.py
+++ b/src/daisyfall/process/_runner_session.py
@@ -35,9 +35,6 @@
 TOKEN_INCREMENT_MS = 60_000
 # The lease is not renewed if the runner has not answered a renewal for this long.
 MAX_ANSWER_AGE_S = 0.4
-# The runner's process is considered dead when its port refuses connections and at least this
-# many renewals in a row have failed.
-FAILED_RENEWALS_UNTIL_LOST = 2
 
 
 class RunnerSession:
@@ -67,7 +64,6 @@
         self._is_connected = False
         self._last_answer_at = 0.0
         self.lease = _runner_lease.RunnerLease()
-        self._failed_renewals = 0
         self._health = _call_health.CallHealth()
         # Until then, runs that the agent doesn't know may use capacity.
         self._unknown_runs_until = 0.0
@@ -335,7 +331,6 @@
             return
         self._sync_clock(snapshot.clock_ms)
         self._last_answer_at = now
-        self._failed_renewals = 0
         self._lost_runs = []
         if not self._is_connected:
             self._is_connected = True
@@ -374,25 +369,27 @@
         return self._is_connected and is_answering and not self.runs.must_withhold_lease(now)
 
     async def _handle_failed_renewal(self, failure: _leased_runner.RenewalFailed) -> None:
+        """Handle a renewal without lists.
+
+        The runs go on until another incarnation answers at the address or their lease expires: a
+        runner that is silent or refuses connections may be cut off only.
+        """
         now = _clock.monotonic()
-        self._failed_renewals += 1
-        self._handle_failed_call(failure.reason, now)
-        self._metrics.count_renewal_failure(failure.reason.value)
-        is_process_dead = (
-            failure.reason is _leased_runner.CallOutcome.UNREACHABLE
-            and self._failed_renewals >= FAILED_RENEWALS_UNTIL_LOST
-        )
-        if is_process_dead or self.lease.has_expired(now):
+        reason = failure.reason
+        self._handle_failed_call(reason, now)
+        self._metrics.count_renewal_failure(reason.value)
+        if reason is _leased_runner.CallOutcome.REPLACED:
+            self._lose_incarnation()
+            await asyncio.sleep(RESTARTED_RETRY_S)
+            return
+        if self.lease.has_expired(now):
             if self.runs.run_by_task:
-                log = loguru.logger.bind(
-                    reason=failure.reason.value, tasks=len(self.runs.run_by_task)
-                )
+                log = loguru.logger.bind(reason=reason.value, tasks=len(self.runs.run_by_task))
                 log.warning("runner is lost with its tasks")
             self._is_connected = False
-            if is_process_dead:
+            if reason is _leased_runner.CallOutcome.UNREACHABLE:
                 self._handle_crash()
             else:
-                # A silent runner may be cut off only.
                 self._lost_runs += self.runs.crashed_runs(now)
                 self._callbacks.on_runs_ended(self.runs.lose_runner(_run.LOST, now))
         await asyncio.sleep(RENEWAL_RETRY_S)
--- a/src/daisyfall_standins/fault_injection.py
+++ b/src/daisyfall_standins/fault_injection.py
@@ -31,6 +31,8 @@
     "is unanswered for {s} s",
     "is unhealthy for {s} s",
 )
+# Calls that fail although the runner goes on with its runs.
+CALL_FAULTS = ("is refusing for {s} s", "is losing for {s} s", "is late for {s} s")
 STORE_FAULTS = ("is down for {s} s", "is silent for {s} s", "is busy for {s} s", "forgets")
 LINK_DELAY_S = 0.15
 
@@ -51,6 +53,12 @@
     return text.format(s=duration)
 
 
+def random_call_fault(rng: random.Random, agents: list[str]) -> str:
+    """Return the text of a random fault of the calls to a runner."""
+    text = f"the runner of {rng.choice(agents)} {rng.choice(CALL_FAULTS)}"
+    return text.format(s=round(rng.uniform(0.1, 1.5), 1))
+
+
 async def inject(world: platform_world.World, fault: str) -> None:
     """Inject a fault and end it after its duration; raise `ValueError` for an unknown fault."""
     event, _, duration = fault.partition(" for ")
--- a/src/daisyfall_standins/leased_runner.py
+++ b/src/daisyfall_standins/leased_runner.py
@@ -26,7 +26,19 @@
 HEARTBEAT_INTERVAL_S = 0.3
 CRASH_DOWN_S = 1.0
 # Values of `FakeLeasedRunner.fault`; the empty one injects no fault.
-FAULT_MODES = ("", "silent", "unanswered", "failing", "stalled", "unhealthy")
+FAULT_MODES = (
+    "",
+    "silent",
+    "unanswered",
+    "failing",
+    "stalled",
+    "unhealthy",
+    "refusing",  # refuses connections and goes on with its runs
+    "losing",  # does what it is told, but some of its answers are lost
+    "late",  # leaves some calls unanswered and carries them out later
+)
+FAULTY_CALLS_SHARE = 0.4
+LATE_CALL_DELAY_RANGE_S = (0.3, 3.0)
 
 
 @attrs.define(eq=False)
@@ -100,6 +112,7 @@
         self.address = ""
         self._down_until = 0.0
         self._rng = random.Random(1)
+        self._late_calls: set[asyncio.Task] = set()
         # When the agent answered a heartbeat, in seconds on the monotonic clock.
         self.heartbeats_read_at: collections.deque[float] = collections.deque(maxlen=100)
         self._reset()
@@ -127,6 +140,11 @@
         """Return whether the runner is down after a crash."""
         return time.monotonic() < self._down_until
 
+    @property
+    def refuses_connections(self) -> bool:
+        """Return whether no connection to the runner can be opened."""
+        return self.is_down or self.fault == "refusing"
+
     def _crash(self, task: str) -> None:
         crashes_by_task = self.execution_log.crashes_by_task
         crashes_by_task[task] = crashes_by_task.get(task, 0) + 1
@@ -208,7 +226,7 @@
         async def with_checks(request: web.Request) -> web.Response:
             if self.fault == "silent":
                 await asyncio.sleep(MAX_WAIT_MS / 1000)
-            if self.is_down:
+            if self.refuses_connections:
                 return self._drop(request)
             if request.headers.get("X-Expected-Instance", self.id) != self.id:
                 return web.json_response({}, status=421)
@@ -217,15 +235,33 @@
             except ConnectionResetError:
                 # The agent closed the connection before the request body was read.
                 return self._respond(400)
-            if body.get("FencingToken", 0) < self.fencing_token:
-                return self._respond(409, Reason="fence")
-            self.fencing_token = body.get("FencingToken", 0)
+            is_faulty = self._rng.random() < FAULTY_CALLS_SHARE
+            if is_faulty and self.fault == "late":
+                self._late_calls.add(asyncio.create_task(self._execute_late(handler, body)))
+                await asyncio.sleep(MAX_WAIT_MS / 1000)
+                return self._drop(request)
+            loses_answer = is_faulty and self.fault == "losing"
             incarnation = self.id
-            response = await handler(body)
-            return response if self.id == incarnation else self._drop(request)
+            response = await self._execute(handler, body)
+            if self.id != incarnation or loses_answer or self.refuses_connections:
+                return self._drop(request)
+            return response
 
         return with_checks
 
+    async def _execute(self, handler, body: dict) -> web.Response:
+        if body.get("FencingToken", 0) < self.fencing_token:
+            return self._respond(409, Reason="fence")
+        self.fencing_token = body.get("FencingToken", 0)
+        return await handler(body)
+
+    async def _execute_late(self, handler, body: dict) -> None:
+        incarnation = self.id
+        await asyncio.sleep(self._rng.uniform(*LATE_CALL_DELAY_RANGE_S))
+        if self.id == incarnation:
+            await self._execute(handler, body)
+        self._late_calls.discard(asyncio.current_task())
+
     def _drop(self, request: web.Request) -> web.Response:
         """Reset the connection, as a process does that has ended; the response isn't sent."""
         if request.transport is not None:
--- a/src/daisyfall_standins/platform_world.py
+++ b/src/daisyfall_standins/platform_world.py
@@ -327,7 +327,7 @@
         ip = self._agent_ips[int(name.rpartition("-")[2])]
         runner.address = f"{ip}:{RUNNER_PORT}"
         listener = await self._serve(runner.application(), runner.address)
-        self._background_tasks.append(asyncio.create_task(_close_while_down(listener, runner)))
+        self._background_tasks.append(asyncio.create_task(_close_while_refusing(listener, runner)))
         self._background_tasks.append(asyncio.create_task(runner.run_until_cancelled()))
         send_heartbeats = runner.send_heartbeats(self.session, f"{ip}:{CONTROL_PORT}")
         self._background_tasks.append(asyncio.create_task(send_heartbeats))
@@ -360,13 +360,15 @@
         await self.site.stop()
 
 
-async def _close_while_down(listener: _Listener, runner: leased_runner.FakeLeasedRunner) -> None:
-    """Refuse connections to a runner that has crashed until it is back; run until cancelled."""
+async def _close_while_refusing(
+    listener: _Listener, runner: leased_runner.FakeLeasedRunner
+) -> None:
+    """Refuse connections while the runner is down or refuses them; run until cancelled."""
     while True:
-        while not runner.is_down:
+        while not runner.refuses_connections:
             await asyncio.sleep(leased_runner.POLL_INTERVAL_S)
         await listener.close()
-        while runner.is_down:
+        while runner.refuses_connections:
             await asyncio.sleep(leased_runner.POLL_INTERVAL_S)
         await listener.open()
 
--- a/src/daisyfall_standins/soak.py
+++ b/src/daisyfall_standins/soak.py
@@ -41,6 +41,7 @@
         # Apart from the others, so that a seed plays the same faults as before.
         self._crash_rng = random.Random(seed + 1)
         self._evacuation_rng = random.Random(seed + 2)
+        self._call_rng = random.Random(seed + 3)
         self._seconds = seconds
         self._injection_ends_at = 0.0
         self._submissions: list[asyncio.Task] = []
@@ -58,7 +59,11 @@
         fault_tasks = [self._inject_faults() for _ in range(MAX_CONCURRENT_FAULTS)]
         load_task = asyncio.create_task(self._load())
         await asyncio.gather(
-            self._configure(), self._crash_runners(), self._evacuate(), *fault_tasks
+            self._configure(),
+            self._crash_runners(),
+            self._evacuate(),
+            self._disturb_calls(),
+            *fault_tasks,
         )
         self._last_fault_ended_at = time.monotonic()
         await asyncio.sleep(RECOVERY_WAIT_S)
@@ -143,6 +148,15 @@
             self._record_fault(fault)
             await fault_injection.inject(self._world, fault)
 
+    async def _disturb_calls(self) -> None:
+        """Disturb the calls to one runner after the other."""
+        agents = list(self._world.runner_by_agent)
+        while time.monotonic() < self._injection_ends_at:
+            await asyncio.sleep(self._call_rng.uniform(0.1, 1.0))
+            fault = fault_injection.random_call_fault(self._call_rng, agents)
+            self._record_fault(fault)
+            await fault_injection.inject(self._world, fault)
+
     def _record_fault(self, fault: str) -> None:
         self.faults.append(fault)
         elapsed_s = self._seconds - self._injection_ends_at + time.monotonic()
