Leave out rows of the table of nodes that name no node

What operators of other systems saw: processes ended again and again or stopped following a list after one odd entry. Here: after a row nested 1,000 deep, entries learned of no change of the table of nodes any more, and one that started knew no node at all.

Cause: a row's role and address were turned into texts, which raises RecursionError for such a list. The watch then read the whole table again and failed at the same row. Ports out of range, names and numbers became nodes that were dialled for ever, and a row that could not be read removed the node that its key named.

Change: a row needs a known role and an IPv4 address with a valid port. Other rows are left out and counted, and the node known before stays.

--- /dev/null
+++ b/features/odd_entries.feature
@@ -0,0 +1,38 @@
+Feature: Odd entries of other writers
+  Other writers can reach the table of nodes, the ports and the lists of a runner. What names no node
+  or runner changes nothing; the true ones stay in use.
+
+  # The watch failed at such a row each time, and an entry never learned of another node.
+  Scenario Outline: a row of the table of nodes that names no node is left out
+    Given an entry's table of nodes with entry e at 127.0.0.1:1
+    When another writer adds <row> under x, and agent a is added at 127.0.0.1:2
+    Then the entry knows entry e at 127.0.0.1:1, agent a at 127.0.0.1:2
+    And 1 unreadable row is counted
+
+    Examples:
+      | row                                                |
+      | a role nested 1000 deep                            |
+      | an address nested 1000 deep                        |
+      | an object nested 100000 deep                       |
+      | {"role":"agent","address":"127.0.0.1:65536"}       |
+      | {"role":"agent","address":"127.0.0.1:-1"}          |
+      | {"role":"agent","address":"127.0.0.1:99999999999999999999999"} |
+      | {"role":"agent","address":"127.0.0.1:8_0"}         |
+      | {"role":"agent","address":"127.0.0.1"}             |
+      | {"role":"agent","address":"host.example:80"}       |
+      | {"role":"agent","address":123456789012345678901234567890} |
+      | {"role":"agent","address":1e400}                   |
+      | {"role":"runner","address":"127.0.0.1:2"}          |
+      | {"role":["agent"],"address":"127.0.0.1:2"}         |
+      | ["agent"]                                          |
+      | not JSON                                           |
+
+  Scenario: a row of a node that is overwritten by another writer leaves the node in use
+    Given an entry's table of nodes with entry e at 127.0.0.1:1
+    When another writer adds not JSON under e, and agent a is added at 127.0.0.1:2
+    Then the entry knows entry e at 127.0.0.1:1, agent a at 127.0.0.1:2
+    When all rows are read again
+    Then the entry knows entry e at 127.0.0.1:1, agent a at 127.0.0.1:2
+    And 1 unreadable row is counted
+    When the row of e is removed
+    Then the entry knows agent a at 127.0.0.1:2
--- a/src/daisyfall/platform/_entry_node.py
+++ b/src/daisyfall/platform/_entry_node.py
@@ -3,8 +3,6 @@
 import contextlib
 import random
 
-import loguru
-
 from daisyfall import _pool_wire
 from daisyfall.platform import (
     _caller_api,
@@ -14,10 +12,11 @@
     _node_process,
     _node_row,
     _node_settings,
+    _node_table,
     _operator_rows,
     _store,
 )
-from daisyfall.process import _pool_entry, _pool_peers, _pool_settings
+from daisyfall.process import _pool_entry, _pool_settings
 
 NODES_TIMING = _store.WatchTiming(wait_s=10.0, pause_s=0.2)
 # The platform's load balancer stops sending new connections after two failed readiness probes,
@@ -53,7 +52,7 @@
         row = _node_row.NodeRow(
             _pool_wire.ROLE_ENTRY, f"{settings.host_address}:{settings.internal_port}"
         )
-        nodes = _NodeTable(entry)
+        nodes = _node_table.NodeTable(entry.peers, metrics.count_store_error)
         _node_process.spawn(
             stack, store.put(_node_process.NODES_TABLE, settings.node_id, row.encode())
         )
@@ -71,27 +70,3 @@
             ),
         )
         await entry.run(_node_process.watch_signals(path, settings), close_callers)
-
-
-class _NodeTable:
-    """Copy of the table of nodes; passes all nodes to the entry after each change."""
-
-    def __init__(self, entry: _pool_entry.PoolEntry):
-        self._entry = entry
-        self._node_by_id: dict[str, _pool_peers.Node] = {}
-
-    def update(self, rows: list[_store.Row], read_version: int | None) -> None:
-        """Apply changed rows, or replace all rows if they were read as of a version."""
-        if read_version is not None:
-            self._node_by_id.clear()
-        for row in rows:
-            self._node_by_id.pop(row.key, None)
-            found = _node_row.NodeRow.decode(row.value) if row.value is not None else None
-            if found is not None and found.role in _pool_wire.ROLES:
-                self._node_by_id[row.key] = _pool_peers.Node(row.key, found.role, found.address)
-        loguru.logger.bind(nodes=len(self._node_by_id)).info("table of nodes updated")
-        self._entry.peers.set_nodes(list(self._node_by_id.values()))
-        if read_version is None:
-            # A process writes its row when it has started, also if its address is the same.
-            for row in rows:
-                self._entry.peers.redial(row.key)
--- a/src/daisyfall/platform/_node_row.py
+++ b/src/daisyfall/platform/_node_row.py
@@ -3,6 +3,9 @@
 import attrs
 import orjson
 
+from daisyfall import _pool_wire
+from daisyfall.platform import _addresses
+
 
 @attrs.frozen
 class NodeRow:
@@ -17,9 +20,10 @@
 
     @staticmethod
     def decode(value: bytes) -> "NodeRow | None":
-        """Decode the value of a row; return None if it is not valid."""
+        """Decode the value of a row; return None if it names no node."""
         try:
             body = orjson.loads(value)
-            return NodeRow(str(body["role"]), str(body["address"]))
+            role, address = body["role"], _addresses.check(body["address"])
         except (ValueError, KeyError, TypeError):
             return None
+        return NodeRow(role, address) if role in _pool_wire.ROLES else None
