Check numbers, names and addresses of heartbeats

Here: an odd heartbeat of another writer was answered with 500 (a field nested 1,000 deep), or became the runner's address, capacity or id (a port out of range, a host name, 2^64 - 1, a line break).

Cause: only types were checked, and error texts were built with repr, which raises RecursionError for deeply nested lists.

Change: numbers are 0 to 2^53, names printable and short, ids in ASCII, the address an IPv4 address with a valid port; error texts are cut short. Such a heartbeat is acknowledged, logged and counted as invalid.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -36,3 +36,47 @@
     And 1 unreadable row is counted
     When the row of e is removed
     Then the entry knows agent a at 127.0.0.1:2
+
+  # Such a heartbeat was answered with an error, or became the address of the runner.
+  Scenario Outline: a heartbeat that names no runner is acknowledged and left out
+    When another writer sends a heartbeat with <change> to an agent
+    Then it is acknowledged, left out and counted as invalid
+
+    Examples:
+      | change                                          |
+      | Service nested 1000 deep                        |
+      | Address nested 1000 deep                        |
+      | Capacity nested 1000 deep                       |
+      | Labels nested 1000 deep                         |
+      | State nested 1000 deep                          |
+      | Address "127.0.0.1:65536"                       |
+      | Address "127.0.0.1:-1"                          |
+      | Address "127.0.0.1:0"                           |
+      | Address "127.0.0.1:1e3"                         |
+      | Address "127.0.0.1"                             |
+      | Address "[::1"                                  |
+      | Address "runner.example:80"                     |
+      | Address "10.0.0.1/x:80"                         |
+      | Sequence 18446744073709551615                   |
+      | Sequence 123456789012345678901234567890         |
+      | born 9007199254740993                           |
+      | born -1                                         |
+      | RemainingMs 18446744073709551615                |
+      | Capacity {"Cpu":18446744073709551615,"MemMb":1} |
+      | Capacity {"Cpu":-1,"MemMb":1}                   |
+      | Service ""                                      |
+      | Service "a\nb"                                  |
+
+  Scenario Outline: an id that can't be sent in a header names no runner
+    When another writer sends a heartbeat of the runner <runner_id> to an agent
+    Then it is acknowledged, left out and counted as invalid
+
+    Examples:
+      | runner_id     |
+      | i%0Ax         |
+      | i%C3%A9       |
+      | 300 characters |
+
+  Scenario: the heartbeat of a runner is passed on
+    When a runner sends a heartbeat to its agent
+    Then it is acknowledged and passed on
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -1,10 +1,16 @@
 """Steps for odd entries of other writers in lists and on ports."""
 
 import json
+import types
 
+import aiohttp
+import event_loop
+import yarl
+from aiohttp import test_utils
 from behave import given, then, when
 
-from daisyfall.platform import _node_table, _store
+from daisyfall.platform import _node_table, _runner_api, _store
+from daisyfall.process import _pool_metrics
 
 
 def nested(depth):
@@ -75,3 +81,63 @@
 @then("{count:d} unreadable row is counted")
 def check_count(context, count):
     assert context.errors == [_node_table.UNREADABLE_ROW] * count, context.errors
+
+
+HEARTBEAT = {
+    "Service": "p",
+    "Address": "10.0.0.1:80",
+    "State": "ready",
+    "Capacity": {"Cpu": 16000, "MemMb": 100, "Gpu": 0},
+    "Labels": ["a", "r1"],
+    "Sequence": 4,
+    "born": 17,
+}
+
+
+def post_heartbeat(context, runner_id, document):
+    """Post a heartbeat to an agent's API; keep its status, and what was passed on."""
+    context.passed_on = []
+    context.metrics = _pool_metrics.PoolMetrics()
+    agent = types.SimpleNamespace(
+        handle_heartbeat=context.passed_on.append, metrics=context.metrics
+    )
+
+    async def post():
+        server = test_utils.TestServer(_runner_api.build(agent))
+        async with server, aiohttp.ClientSession() as session:
+            url = f"{server.make_url('/instances')}/{runner_id}/heartbeat"
+            async with session.post(yarl.URL(url, encoded=True), data=document) as answer:
+                context.status = answer.status
+
+    event_loop.run(context, post())
+
+
+@when("another writer sends a heartbeat with {field} {value} to an agent")
+def send_heartbeat(context, field, value):
+    document = nested(1000) if value == "nested 1000 deep" else value
+    others = json.dumps({name: HEARTBEAT[name] for name in HEARTBEAT if name != field})
+    post_heartbeat(context, "i-1", f'{others[:-1]},"{field}":{document}}}')
+
+
+@when("another writer sends a heartbeat of the runner {runner_id} to an agent")
+def send_heartbeat_of(context, runner_id):
+    runner_id = "i" * 300 if runner_id == "300 characters" else runner_id
+    post_heartbeat(context, runner_id, json.dumps(HEARTBEAT))
+
+
+@when("a runner sends a heartbeat to its agent")
+def send_valid_heartbeat(context):
+    post_heartbeat(context, "i-1", json.dumps(HEARTBEAT))
+
+
+@then("it is acknowledged, left out and counted as invalid")
+def check_left_out(context):
+    assert context.status == 200, context.status
+    assert not context.passed_on, context.passed_on
+    assert b'pool_ignored_heartbeats_total{reason="invalid"} 1.0' in context.metrics.render()
+
+
+@then("it is acknowledged and passed on")
+def check_passed_on(context):
+    assert context.status == 200, context.status
+    assert [each.id for each in context.passed_on] == ["i-1"]
--- a/src/daisyfall/platform/_runner.py
+++ b/src/daisyfall/platform/_runner.py
@@ -1,13 +1,14 @@
 """HTTP client for an agent's runner, and decoding of the runner's heartbeats."""
 
 import math
+import reprlib
 
 import aiohttp
 import loguru
 import orjson
 import yarl
 
-from daisyfall.platform import _http
+from daisyfall.platform import _addresses, _http
 from daisyfall.process import _leased_runner
 
 _OUTCOME_BY_REASON = {
@@ -29,6 +30,10 @@
 STOP_PATH = "/run-stop"
 RENEW_PATH = "/hold"
 UNHEALTHY_STATUSES = frozenset({429, 503})
+# Larger numbers are not exact in all JSON parsers, so no runner sends them.
+MAX_NUMBER = 2**53
+MAX_LABELS = 100
+MAX_NAME_LENGTH = 200
 # Another incarnation of the runner answers at the address.
 REPLACED_STATUS = 421
 
@@ -116,25 +121,24 @@
 
 
 def decode_heartbeat(runner_id: str, body: object) -> _leased_runner.RunnerHeartbeat | None:
-    """Decode a heartbeat; return None if it is not valid."""
+    """Decode a heartbeat, which may come from another writer; return None if it names no runner."""
     if not isinstance(body, dict):
         return None
     try:
         capacity = body["Capacity"]
         state = body["State"]
         heartbeat = _leased_runner.RunnerHeartbeat(
-            id=runner_id,
-            born_ms=_check_integer(body.get("born", 0)),
-            pool=_check_string(body["Service"]),
-            address=_check_string(body["Address"]),
-            cpu=_check_integer(capacity["Cpu"]),
-            memory_mb=_check_integer(capacity["MemMb"]),
-            accelerators=_check_integer(capacity.get("Gpu", 0)),
-            # Among the labels are the kind of the runner and its rack.
-            labels=tuple(_check_string(label) for label in _check_list(body.get("Labels", []))),
+            id=_check_id(runner_id),
+            born_ms=_check_count(body.get("born", 0)),
+            pool=_check_name(body["Service"]),
+            address=_addresses.check(body["Address"]),
+            cpu=_check_count(capacity["Cpu"]),
+            memory_mb=_check_count(capacity["MemMb"]),
+            accelerators=_check_count(capacity.get("Gpu", 0)),
+            labels=_check_labels(body.get("Labels", [])),
             is_draining=state == "draining",
-            remaining_ms=_check_integer(body.get("RemainingMs", 0)),
-            sequence=_check_integer(body["Sequence"]),
+            remaining_ms=_check_count(body.get("RemainingMs", 0)),
+            sequence=_check_count(body["Sequence"]),
         )
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
@@ -205,17 +209,33 @@
 
 def _check_integer(value: object) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(f"expected a whole number, found {value!r}")
+        raise ValueError(f"expected a whole number, found {reprlib.repr(value)}")
     return value
 
 
-def _check_list(value: object) -> list:
-    if not isinstance(value, list):
-        raise ValueError(f"expected a list, found {value!r}")
+def _check_count(value: object) -> int:
+    if not 0 <= _check_integer(value) <= MAX_NUMBER:
+        raise ValueError(f"expected a whole number of 0 to {MAX_NUMBER}, found {value}")
     return value
 
 
-def _check_string(value: object) -> str:
-    if not isinstance(value, str):
-        raise ValueError(f"expected a text, found {value!r}")
+def _check_id(value: str) -> str:
+    # It is sent in a header of each call.
+    if not value.isascii():
+        raise ValueError(f"expected an id in ASCII, found {reprlib.repr(value)}")
+    return _check_name(value)
+
+
+def _check_name(value: object) -> str:
+    if not isinstance(value, str) or not value.isprintable():
+        raise ValueError(f"expected a printable text, found {reprlib.repr(value)}")
+    if not 0 < len(value) <= MAX_NAME_LENGTH:
+        raise ValueError(f"expected 1 to {MAX_NAME_LENGTH} characters, found {len(value)}")
     return value
+
+
+def _check_labels(value: object) -> tuple[str, ...]:
+    """Return the labels of a runner; among them are its kind and its rack."""
+    if not isinstance(value, list) or len(value) > MAX_LABELS:
+        raise ValueError(f"expected at most {MAX_LABELS} labels, found {reprlib.repr(value)}")
+    return tuple(_check_name(label) for label in value)
