Reject deeply nested documents as malformed

What callers saw: a job nested 1,000 deep was answered with 500; in daisyfall's own interface also a request of an operator, and a runner's answer ended its task with an unexpected error.

Cause: error texts built with repr and Python's JSON parser raise RecursionError, which is not a ValueError.

Change: error texts are cut short, and RecursionError counts as malformed input in each place that parses JSON of others.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -80,3 +80,27 @@
   Scenario: the heartbeat of a runner is passed on
     When a runner sends a heartbeat to its agent
     Then it is acknowledged and passed on
+
+  # Error texts were built with `repr`, which fails for such a list.
+  Scenario Outline: a job that is nested deeply is rejected as malformed
+    When the adapter decodes a job whose <field> is nested <depth> deep
+    Then the job is rejected as malformed
+
+    Examples:
+      | field | depth  |
+      | Steps | 1000   |
+      | Count | 1000   |
+      | After | 1000   |
+      | Steps | 100000 |
+
+  Scenario Outline: a job of daisyfall's own interface with a payload nested <depth> deep
+    When a job with a payload nested <depth> deep is submitted to daisyfalld
+    Then it is <verdict>
+
+    Examples:
+      | depth  | verdict                                 |
+      | 100000 | rejected as malformed                   |
+
+  Scenario: a runner's answer that is nested deeply counts as no answer
+    When a runner of daisyfalld answers 200 with a body nested 100000 deep
+    Then its task is lost
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -9,8 +9,13 @@
 from aiohttp import test_utils
 from behave import given, then, when
 
-from daisyfall.platform import _node_table, _runner_api, _store
-from daisyfall.process import _pool_metrics
+from daisyfall import _codec, _wire, errors
+from daisyfall.platform import _documents, _node_table, _runner_api, _store
+from daisyfall.process import _pool_metrics, _runner
+from daisyfall.request import _submission
+from daisyfall.version import _routes
+
+JOB_ID = "0190163d-8694-739b-aea5-966c26f8ad91"
 
 
 def nested(depth):
@@ -141,3 +146,55 @@
 def check_passed_on(context):
     assert context.status == 200, context.status
     assert [each.id for each in context.passed_on] == ["i-1"]
+
+
+@when("the adapter decodes a job whose {field} is nested {depth:d} deep")
+def decode_job(context, field, depth):
+    document = nested(depth)
+    if field != "Steps":
+        document = f'[{{"Count":1,"{field}":{document}}}]'
+    route = _routes.Route("r", "h", "/", "p", 0, 1, 1.0, 0.0, 0.0)
+    context.error = None
+    try:
+        body = f'{{"BestEffort":true,"Steps":{document}}}'.encode()
+        _documents.decode_submission(body, "0" * _documents.JOB_ID_LENGTH, route, 1.0)
+    except _documents.DocumentError as error:
+        context.error = error
+
+
+@then("the job is rejected as malformed")
+def check_rejected(context):
+    assert context.error is not None
+
+
+@when("a job with a payload nested {depth:d} deep is submitted to daisyfalld")
+def submit_payload(context, depth):
+    job = f'"job_id":"{JOB_ID}","deadline_ms":1000'
+    body = f'{{{job},"tasks":[{{"kind":"k","payload":{nested(depth)}}}]}}'
+    context.submission, context.kind = None, ""
+    try:
+        context.submission = _submission.parse("b", body.encode())
+    except errors.DispatchError as error:
+        context.kind = error.kind.value
+
+
+@then("it is accepted, and its message can be decoded")
+def check_accepted(context):
+    (task,) = context.submission.tasks
+    message = _wire.Submit(1, "b", JOB_ID, 1000, [task.as_wire()], True)
+    assert _codec.decode_batch(_codec.encode_batch([message])) == [message]
+
+
+@then("it is rejected as {kind}")
+def check_kind(context, kind):
+    assert context.kind == kind, context.kind
+
+
+@when("a runner of daisyfalld answers 200 with a body nested {depth:d} deep")
+def answer_deeply(context, depth):
+    context.outcome = _runner._parse_outcome(200, nested(depth).encode())
+
+
+@then("its task is lost")
+def check_lost(context):
+    assert isinstance(context.outcome, _runner.Lost), context.outcome
--- a/src/daisyfall/platform/_documents.py
+++ b/src/daisyfall/platform/_documents.py
@@ -1,6 +1,7 @@
 """Decoding of the platform's documents: configuration and submitted jobs."""
 
 import math
+import reprlib
 
 import orjson
 
@@ -26,7 +27,7 @@
     body = _load(document)
     limits = body.get("Limits") or {}
     if not isinstance(limits, dict):
-        raise DocumentError(f"Limits is {limits!r}, expected an object")
+        raise DocumentError(f"Limits is {reprlib.repr(limits)}, expected an object")
     return _routes.Configuration(
         version=_integer(body, "Version"),
         routes=tuple(_decode_route(row) for row in _list(body, "Routes")),
@@ -43,7 +44,7 @@
     body = _load(document)
     payload = body.get("Specification", "")
     if not isinstance(payload, str):
-        raise DocumentError(f"Specification is {payload!r}, expected a text")
+        raise DocumentError(f"Specification is {reprlib.repr(payload)}, expected a text")
     _check_supported(body, route)
     rows = _list(body, "Steps")
     steps = tuple(_decode_step(row, number) for number, row in enumerate(rows))
@@ -67,7 +68,7 @@
 
 def _decode_step(row: object, number: int) -> _pool_jobs.Step:
     if not isinstance(row, dict):
-        raise DocumentError(f"step {number} is {row!r}, expected an object")
+        raise DocumentError(f"step {number} is {reprlib.repr(row)}, expected an object")
     for name in ("Gang", "SameRack", "Fills", "LongRunning", "MayMiss"):
         if row.get(name):
             raise UnsupportedError(name)
@@ -76,7 +77,9 @@
     if not isinstance(after, list) or not all(
         isinstance(index, int) and 0 <= index < number for index in after
     ):
-        raise DocumentError(f"After of step {number} is {after!r}, expected earlier steps")
+        raise DocumentError(
+            f"After of step {number} is {reprlib.repr(after)}, expected earlier steps"
+        )
     return _pool_jobs.Step(
         count=_integer(row, "Count", 1),
         cpu=_integer(row, "Cpu", 0),
@@ -92,7 +95,7 @@
 
 def _decode_route(row: object) -> _routes.Route:
     if not isinstance(row, dict):
-        raise DocumentError(f"a route is {row!r}, expected an object")
+        raise DocumentError(f"a route is {reprlib.repr(row)}, expected an object")
     return _routes.Route(
         name=_string(row, "Name"),
         host=_string(row, "Host"),
@@ -121,7 +124,7 @@
 def _list(body: dict, name: str) -> list:
     rows = body.get(name)
     if not isinstance(rows, list):
-        raise DocumentError(f"{name} is {rows!r}, expected a list")
+        raise DocumentError(f"{name} is {reprlib.repr(rows)}, expected a list")
     return rows
 
 
@@ -130,7 +133,9 @@
     if value is None:
         value = default
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise DocumentError(f"{name} is {value!r}, expected a whole number of 0 or more")
+        raise DocumentError(
+            f"{name} is {reprlib.repr(value)}, expected a whole number of 0 or more"
+        )
     return value
 
 
@@ -140,7 +145,7 @@
         return default
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
     if not is_number or not math.isfinite(value) or value < 0:
-        raise DocumentError(f"{name} is {value!r}, expected a number of 0 or more")
+        raise DocumentError(f"{name} is {reprlib.repr(value)}, expected a number of 0 or more")
     return float(value)
 
 
@@ -149,5 +154,5 @@
     if value is None:
         return ""
     if not isinstance(value, str):
-        raise DocumentError(f"{name} is {value!r}, expected a text")
+        raise DocumentError(f"{name} is {reprlib.repr(value)}, expected a text")
     return value
--- a/src/daisyfall/platform/_explain_api.py
+++ b/src/daisyfall/platform/_explain_api.py
@@ -1,5 +1,7 @@
 """HTTP API that explains placements to operators; on the port of the metrics."""
 
+import reprlib
+
 import orjson
 from aiohttp import web
 
@@ -60,7 +62,7 @@
     route = _find_route(configuration, body["route"])
     wait_ms = body.get("wait_ms") or 0
     if not isinstance(wait_ms, int | float) or wait_ms < 0:
-        raise _documents.DocumentError(f"wait_ms is {wait_ms!r}, expected milliseconds")
+        raise _documents.DocumentError(f"wait_ms is {reprlib.repr(wait_ms)}, expected milliseconds")
     wait_s = wait_ms / 1000 or _caller_api.default_wait_s(route)
     steps = [_encode_step(body["step"])] if "step" in body else body.get("steps")
     job = orjson.dumps({"Steps": steps, "BestEffort": True})
@@ -69,7 +71,7 @@
 
 def _encode_step(step: object) -> dict:
     if not isinstance(step, dict):
-        raise _documents.DocumentError(f"step is {step!r}, expected an object")
+        raise _documents.DocumentError(f"step is {reprlib.repr(step)}, expected an object")
     return {
         "Count": step.get("count", 1),
         "Cpu": step.get("cpu", 0),
@@ -85,7 +87,7 @@
     host, _, path = text.partition("/")
     found = configuration.find(host, f"/{path}")
     if found is None:
-        raise LookupError(f"no route is named {text!r} or matches it as host and path")
+        raise LookupError(f"no route is named {reprlib.repr(text)} or matches it as host and path")
     return found
 
 
--- a/src/daisyfall/process/_agent_api.py
+++ b/src/daisyfall/process/_agent_api.py
@@ -69,5 +69,5 @@
         return json.loads(await request.read())
     except web.HTTPRequestEntityTooLarge as error:
         raise errors.DispatchError(errors.Kind.TOO_LARGE) from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise errors.DispatchError(errors.Kind.MALFORMED) from error
--- a/src/daisyfall/process/_announcement.py
+++ b/src/daisyfall/process/_announcement.py
@@ -1,6 +1,7 @@
 """Announcements of a runner to its agent: parsing, validation and the watchdog for renewals."""
 
 import asyncio
+import reprlib
 from collections.abc import Callable
 
 import attrs
@@ -85,7 +86,7 @@
 
 
 def _invalid_field(field: str, value: object, expected: str) -> errors.DispatchError:
-    detail = f"{field} is {value!r}, expected {expected}"
+    detail = f"{field} is {reprlib.repr(value)}, expected {expected}"
     return errors.DispatchError(
         errors.Kind.INVALID_FIELD, detail, field=field, value=value, expected=expected
     )
--- a/src/daisyfall/process/_object_store.py
+++ b/src/daisyfall/process/_object_store.py
@@ -61,7 +61,7 @@
         _, body = await self._call("GET", url)
         try:
             return json.loads(body)["names"]
-        except (ValueError, KeyError) as error:
+        except (ValueError, KeyError, RecursionError) as error:
             raise ObjectStoreError(
                 _table.Effect.NONE, f"list is not JSON with names: {error}"
             ) from error
--- a/src/daisyfall/process/_runner.py
+++ b/src/daisyfall/process/_runner.py
@@ -172,7 +172,7 @@
         return Lost(f"the runner's answer is larger than {RESULT_LIMIT_BYTES} bytes")
     try:
         answer = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         answer = None
     match status, answer:
         case 200, {"result": value}:
--- a/src/daisyfall/request/_operator_api.py
+++ b/src/daisyfall/request/_operator_api.py
@@ -268,7 +268,7 @@
 async def _read_object(request: web.Request) -> dict:
     try:
         body = json.loads(await request.read())
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise errors.DispatchError(errors.Kind.MALFORMED, str(error)) from error
     if not isinstance(body, dict):
         raise errors.invalid_field("body", type(body).__name__, "a JSON object")
--- a/src/daisyfall/request/_submission.py
+++ b/src/daisyfall/request/_submission.py
@@ -46,7 +46,7 @@
     """Return the submission in a request body; raise `DispatchError` naming the invalid field."""
     try:
         document = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise errors.DispatchError(
             errors.Kind.MALFORMED,
             str(error),
