Reject payloads that are nested deeper than the codec decodes

Cause: daisyfall's own interface accepted payloads of up to some 960 levels, and the codec of the messages to owners and agents decodes 400, so the receiver rejects the message and ends the link.

Change: a payload of more than 200 levels is rejected as invalid_field.

The end of the link was read, not played.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -93,12 +93,16 @@
       | After | 1000   |
       | Steps | 100000 |
 
+  # The agents' codec can't decode such a payload, so each attempt to send it ended a link.
   Scenario Outline: a job of daisyfall's own interface with a payload nested <depth> deep
     When a job with a payload nested <depth> deep is submitted to daisyfalld
     Then it is <verdict>
 
     Examples:
       | depth  | verdict                                 |
+      | 200    | accepted, and its message can be decoded |
+      | 201    | rejected as invalid_field               |
+      | 500    | rejected as invalid_field               |
       | 100000 | rejected as malformed                   |
 
   Scenario: a runner's answer that is nested deeply counts as no answer
--- a/src/daisyfall/request/_submission.py
+++ b/src/daisyfall/request/_submission.py
@@ -13,6 +13,8 @@
 MAX_TASKS = 1900
 MAX_DEADLINE_MS = 24 * 3600 * 1000
 MAX_KIND_CHARS = 100
+# The codec of the messages to agents allows 400 levels, those of the message included.
+MAX_PAYLOAD_DEPTH = 200
 JOB_FIELDS = {"job_id", "deadline_ms", "tasks"}
 TASK_FIELDS = {"kind", "payload", "run_ms", "memory_mb", "accelerators"}
 NUMBER_LIMITS = {
@@ -116,9 +118,24 @@
         _integer(f"{path}.{field}", task.get(field, 0), low, high)
         for field, (low, high) in NUMBER_LIMITS.items()
     ]
+    if _depth(task["payload"]) > MAX_PAYLOAD_DEPTH:
+        raise errors.invalid_field(
+            f"{path}.payload", "nested too deeply", f"at most {MAX_PAYLOAD_DEPTH} levels"
+        )
     return _work.Task(index, kind, task["payload"], *numbers)
 
 
+def _depth(document: Any) -> int:
+    """Return how many levels of lists and objects a document has."""
+    depth, level = 0, [document]
+    while level := [each for each in level if isinstance(each, list | dict)]:
+        depth += 1
+        level = [
+            item for each in level for item in (each.values() if isinstance(each, dict) else each)
+        ]
+    return depth
+
+
 def _check_keys(prefix: str, mapping: dict, required: set[str], known: set[str]) -> None:
     if not mapping.keys() <= known:
         unknown = min(mapping.keys() - known)
