Report a crash with the time of the first failed renewal

Cause: since runs of a refusing runner end with its lease, a crash was reported up to 0.6 s later, and its tasks as having run for that long. A task that crashes its runners early in its run no longer looked early, and crashed three runners before it was given up (two before).

Change: the report tells how long the tasks had run when the first renewal failed.

--- a/src/daisyfall/process/_runner_session.py
+++ b/src/daisyfall/process/_runner_session.py
@@ -63,6 +63,8 @@
         self._runner: _leased_runner.LeasedRunner | None = None
         self._is_connected = False
         self._last_answer_at = 0.0
+        # When the first renewal since the last answer failed, 0 if none has.
+        self._silent_since = 0.0
         self.lease = _runner_lease.RunnerLease()
         self._health = _call_health.CallHealth()
         # Until then, runs that the agent doesn't know may use capacity.
@@ -177,7 +179,7 @@
         if self.heartbeat.is_draining:
             self._callbacks.on_runs_ended(self.runs.lose_runner(_run.LOST, now))
             return
-        runs = self._lost_runs + self.runs.crashed_runs(now)
+        runs = self._lost_runs + self.runs.crashed_runs(self._silent_since or now)
         self._lost_runs = []
         if runs:
             self._callbacks.on_crashed(f"{self.heartbeat.id}/{self.heartbeat.born_ms}", runs)
@@ -330,7 +332,7 @@
         if snapshot.is_of_other_incarnation(self.heartbeat):
             return
         self._sync_clock(snapshot.clock_ms)
-        self._last_answer_at = now
+        self._last_answer_at, self._silent_since = now, 0.0
         self._lost_runs = []
         if not self._is_connected:
             self._is_connected = True
@@ -376,6 +378,7 @@
         """
         now = _clock.monotonic()
         reason = failure.reason
+        self._silent_since = self._silent_since or now
         self._handle_failed_call(reason, now)
         self._metrics.count_renewal_failure(reason.value)
         if reason is _leased_runner.CallOutcome.REPLACED:
@@ -390,6 +393,6 @@
             if reason is _leased_runner.CallOutcome.UNREACHABLE:
                 self._handle_crash()
             else:
-                self._lost_runs += self.runs.crashed_runs(now)
+                self._lost_runs += self.runs.crashed_runs(self._silent_since)
                 self._callbacks.on_runs_ended(self.runs.lose_runner(_run.LOST, now))
         await asyncio.sleep(RENEWAL_RETRY_S)
--- a/src/daisyfall/request/_runs.py
+++ b/src/daisyfall/request/_runs.py
@@ -291,11 +291,11 @@
         ]
         return [end for end in ends if end is not None]
 
-    def crashed_runs(self, now: float) -> list[list]:
+    def crashed_runs(self, crashed_at: float) -> list[list]:
         """Return the rows of a `RunnerCrashed` message."""
         rows = []
         for run in self.run_by_task.values():
-            run_ms = (now - (run.started_at or run.ordered_at)) * 1000
+            run_ms = max(crashed_at - (run.started_at or run.ordered_at), 0.0) * 1000
             rows.append([run.task, run.order.route, run_ms, run.order.expected_ms])
         return rows
 
