Keep runs that the next incarnation of a runner may have started

What callers saw: tasks ran twice at the same time when a runner was back under its id within some milliseconds.

Cause: a start order names its runner by id only. One that was sent before the agent knew of the restart ran at the next incarnation; the agent then reported all runs of the former one as crashed, and the task was started elsewhere too.

Change: an answer with a clock that has gone back comes from the next incarnation. Runs whose order is open when an incarnation ends go on under the next one with the same id, are stopped, and end as its lists tell.

The new scenario of pool_leases.feature fails before. The fake runner of the tests has a clock and progress of its own now, as it looked restarted or slow.

--- a/features/pool_leases.feature
+++ b/features/pool_leases.feature
@@ -26,6 +26,16 @@
     When the runner restarts under its id
     Then a crash with the task is reported once
 
+  # An order carries the id only. The task was placed again while it ran at the next incarnation.
+  Scenario: a task that the next incarnation under the same id has started is not given up
+    Given an agent whose runner runs a task of entry e and confirms no stop
+    When the runner restarts under its id and then gets an order of entry f
+    Then only the task of entry e has ended, as crashed
+    When the runner announces itself again and lists the task of entry f
+    Then only the task of entry e has ended, as crashed
+    When the runner confirms stops
+    Then the task of entry f has ended as unanswered
+
   Scenario: a runner that is replaced without leaving has crashed
     Given an agent whose runner runs a task of entry e and confirms no stop
     When another incarnation of the runner announces itself
--- a/features/pool_stand_ins.py
+++ b/features/pool_stand_ins.py
@@ -10,6 +10,8 @@
 BOUNDS = _bounds.derive(1.0, 0.05, 1.3)
 POOL = "pool"
 ANSWER_S = 0.02
+# How long a task runs that is neither stopped nor listed as ended.
+RUN_S = 5.0
 
 
 def handshake(role: str, node_id: str, *, incarnation="life-1", started_ms=1, revision=None):
@@ -94,13 +96,19 @@
         self.running: list[str] = []
         self.ended: tuple[_leased_runner.EndedRun, ...] = ()
         self.ordered_at = 0.0
+        self.started_at_by_task: dict[str, float] = {}
         self.stopped_at_by_task: dict[str, float] = {}
         self.acknowledged = 0
         self.failure: _leased_runner.CallOutcome | None = None
+        self._clock_origin = _clock.monotonic()
+
+    def clock_ms(self) -> float:
+        return (_clock.monotonic() - self._clock_origin) * 1000 + 1.0
 
     def restart(self) -> None:
         """Lose all runs and start again under the same id."""
         self.born_ms += 1
+        self._clock_origin = _clock.monotonic()
         self.started, self.running, self.ended = [], [], ()
 
     def end(self, task: str, number: int) -> None:
@@ -112,8 +120,9 @@
     async def start(self, order, _timeout_s):
         self.started.append(order.task)
         self.running.append(order.task)
+        self.started_at_by_task[order.task] = _clock.monotonic()
         self.ordered_at = _clock.monotonic()
-        return _leased_runner.CallOutcome.STARTED, 1.0
+        return _leased_runner.CallOutcome.STARTED, self.clock_ms()
 
     async def stop(self, task, _run, _token, _timeout_s):
         self.stopped_at_by_task.setdefault(task, _clock.monotonic())
@@ -126,5 +135,11 @@
         await asyncio.sleep(ANSWER_S)
         if self.failure is not None:
             return _leased_runner.RenewalFailed(self.failure)
-        running = tuple(_leased_runner.RunProgress(task, 1, 1) for task in self.running)
-        return _leased_runner.RunSnapshot(1.0, self.born_ms, running, self.ended)
+        now = _clock.monotonic()
+        running = tuple(
+            _leased_runner.RunProgress(
+                task, 1, 100 * (now - self.started_at_by_task.get(task, now)) / RUN_S
+            )
+            for task in self.running
+        )
+        return _leased_runner.RunSnapshot(self.clock_ms(), self.born_ms, running, self.ended)
--- a/features/steps/pool_leases_steps.py
+++ b/features/steps/pool_leases_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import event_loop
 import pool_stand_ins
 from behave import given, then, when
@@ -30,8 +31,12 @@
 
 @given("an agent whose runner runs a task of entry e and confirms no stop")
 def make_session(context):
+    context.next_runner = None
+
     def connect(heartbeat):
-        context.runner = pool_stand_ins.FakeRunner(heartbeat, confirms_stops=False)
+        context.runner = context.next_runner or pool_stand_ins.FakeRunner(
+            heartbeat, confirms_stops=False
+        )
         return context.runner
 
     async def start_session():
@@ -104,6 +109,55 @@
     event_loop.run(context, asyncio.sleep(0.2))
 
 
+@when("the runner restarts under its id and then gets an order of entry f")
+def restart_before_order(context):
+    async def restart():
+        # The clock of a runner that has run for long is far ahead of that of the next one.
+        await asyncio.sleep(0.3)
+        context.runner.restart()
+        accept_order(context, "k.0.0", "f")
+        await asyncio.sleep(0.15)
+        assert context.runner.started == ["k.0.0"], context.runner.started
+
+    event_loop.run(context, restart())
+
+
+@when("the runner announces itself again and lists the task of entry f")
+def announce_restarted(context):
+    async def announce_again():
+        fields = {"id": "i-1", "born_ms": context.runner.born_ms}
+        # The same process answers the next client of the agent.
+        context.next_runner = context.runner
+        heartbeat = attrs.evolve(pool_stand_ins.runner_heartbeat(life=2), **fields)
+        context.session.handle_heartbeat(heartbeat)
+        await asyncio.sleep(0.3)
+
+    event_loop.run(context, announce_again())
+
+
+@then("only the task of entry e has ended, as crashed")
+def check_only_crashed(context):
+    ends = [(each.order.task, each.how) for each in context.ends]
+    assert ends == [("j.0.0", _run.CRASHED)], ends
+
+
+@when("the runner confirms stops")
+def confirm_stops(context):
+    async def tick():
+        for _ in range(10):
+            context.session.send_stops(_clock.monotonic())
+            await asyncio.sleep(0.05)
+
+    context.runner.confirms_stops = True
+    event_loop.run(context, tick())
+
+
+@then("the task of entry f has ended as unanswered")
+def check_unanswered(context):
+    ends = [(each.order.task, each.how) for each in context.ends]
+    assert ends == [("j.0.0", _run.CRASHED), ("k.0.0", _run.UNANSWERED)], ends
+
+
 @then("the agent acknowledges no end to the restarted runner")
 def check_nothing_acknowledged(context):
     assert context.runner.acknowledged == 0, context.runner.acknowledged
--- a/src/daisyfall/process/_runner_candidates.py
+++ b/src/daisyfall/process/_runner_candidates.py
@@ -12,7 +12,7 @@
 import loguru
 
 from daisyfall import _clock
-from daisyfall.process import _leased_runner
+from daisyfall.process import _leased_runner, _pool_metrics
 
 PROBE_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 0.25
@@ -63,10 +63,7 @@
 
 
 class RunnerCandidates:
-    """Probes announced runners until they answer or their heartbeats end.
-
-    `on_ignored` receives the reason for which an announced runner is dropped.
-    """
+    """Probes announced runners until they are used or their heartbeats end."""
 
     def __init__(
         self,
@@ -74,13 +71,13 @@
         fencing_token: Callable[[], int],
         lifetime_s: float,
         consider: ConsiderRunner,
-        on_ignored: Callable[[_leased_runner.RunnerHeartbeat, str], None],
+        metrics: _pool_metrics.PoolMetrics,
     ) -> None:
         self._connect = connect
         self._fencing_token = fencing_token
         self._lifetime_s = lifetime_s
         self._consider = consider
-        self._on_ignored = on_ignored
+        self._metrics = metrics
         self._candidate_by_identity: dict[_leased_runner.RunnerIdentity, Candidate] = {}
 
     def announce(self, heartbeat: _leased_runner.RunnerHeartbeat) -> None:
@@ -93,7 +90,7 @@
                 candidate.heartbeat = heartbeat
             return
         if len(self._candidate_by_identity) >= MAX_CANDIDATES:
-            self._on_ignored(heartbeat, "too_many")
+            self._ignore(heartbeat, "too_many")
             return
         candidate = Candidate(heartbeat, expires_at)
         self._candidate_by_identity[heartbeat.identity] = candidate
@@ -121,7 +118,12 @@
             reason = "error"
         finally:
             del self._candidate_by_identity[candidate.heartbeat.identity]
-        self._on_ignored(candidate.heartbeat, reason)
+        self._ignore(candidate.heartbeat, reason)
+
+    def _ignore(self, heartbeat: _leased_runner.RunnerHeartbeat, reason: str) -> None:
+        log = loguru.logger.bind(runner=heartbeat.id, address=heartbeat.address, reason=reason)
+        log.bind(pool=heartbeat.pool, born_ms=heartbeat.born_ms).warning("heartbeat is ignored")
+        self._metrics.count_ignored_heartbeat(reason)
 
 
 def _is_confirmed(
--- a/src/daisyfall/process/_runner_session.py
+++ b/src/daisyfall/process/_runner_session.py
@@ -76,7 +76,7 @@
             lambda: self._token,
             self._heartbeat_timeout_s,
             self._consider_runner,
-            self._ignore_heartbeat,
+            metrics,
         )
         self._calls = _background_tasks.BackgroundTasks("a call to the runner")
         self._renewal_task: asyncio.Task | None = None
@@ -108,11 +108,6 @@
         elif heartbeat.sequence > self.heartbeat.sequence:
             self._apply_heartbeat(heartbeat)
 
-    def _ignore_heartbeat(self, heartbeat: _leased_runner.RunnerHeartbeat, reason: str) -> None:
-        log = loguru.logger.bind(runner=heartbeat.id, address=heartbeat.address, reason=reason)
-        log.bind(pool=heartbeat.pool, born_ms=heartbeat.born_ms).warning("heartbeat is ignored")
-        self._metrics.count_ignored_heartbeat(reason)
-
     def _consider_runner(
         self, heartbeat: _leased_runner.RunnerHeartbeat, runner: _leased_runner.LeasedRunner
     ) -> bool:
@@ -130,11 +125,12 @@
             case _runner_candidates.Replacement.UPDATE:
                 self._apply_heartbeat(heartbeat)
                 return True
+        keeps_orders = current is not None and heartbeat.id == current.id
         if current is not None and not heartbeat.is_same_incarnation(current):
-            self._handle_crash()
+            self._handle_crash(keeps_orders=keeps_orders)
         log = loguru.logger.bind(runner=heartbeat.id, born_ms=heartbeat.born_ms, cpu=heartbeat.cpu)
         log.info("new runner incarnation")
-        self._disconnect_runner()
+        self._disconnect_runner(keeps_orders=keeps_orders)
         self._runner = runner
         self._apply_heartbeat(heartbeat)
         self._renewal_task = asyncio.create_task(self._renew_forever(runner))
@@ -163,27 +159,30 @@
             self.heartbeat = attrs.evolve(self.heartbeat, is_draining=True)
             self._callbacks.on_availability_changed()
 
-    def _disconnect_runner(self) -> None:
+    def _disconnect_runner(self, *, keeps_orders: bool) -> None:
         if self._renewal_task is not None:
             self._renewal_task.cancel()
         self._is_connected = False
         self._runner = None
         now = _clock.monotonic()
         self._lost_runs = []
-        self._callbacks.on_runs_ended(self.runs.clear(_run.LOST, now))
+        self._callbacks.on_runs_ended(self.runs.clear(_run.LOST, now, keeps_orders=keeps_orders))
         self._callbacks.on_runs_ended(self.runs.reject_queued(_run.LOST))
 
-    def _handle_crash(self) -> None:
-        """End all runs of a runner that is gone, and report them as crashed unless it has left."""
+    def _handle_crash(self, *, keeps_orders: bool = False) -> None:
+        """End the runs of a runner that is gone, and report them as crashed unless it has left."""
         now = _clock.monotonic()
         if self.heartbeat.is_draining:
-            self._callbacks.on_runs_ended(self.runs.lose_runner(_run.LOST, now))
+            self._callbacks.on_runs_ended(
+                self.runs.lose_runner(_run.LOST, now, keeps_orders=keeps_orders)
+            )
             return
         runs = self._lost_runs + self.runs.crashed_runs(self._silent_since or now)
         self._lost_runs = []
         if runs:
             self._callbacks.on_crashed(f"{self.heartbeat.id}/{self.heartbeat.born_ms}", runs)
-        self._callbacks.on_runs_ended(self.runs.lose_runner(_run.CRASHED, now))
+        ends = self.runs.lose_runner(_run.CRASHED, now, keeps_orders=keeps_orders)
+        self._callbacks.on_runs_ended(ends)
 
     def start_queued(self) -> None:
         """Send start orders for the queued tasks that fit into the free capacity."""
@@ -211,7 +210,11 @@
         if runner is not self._runner:
             return
         now = _clock.monotonic()
-        self._sync_clock(clock_ms)
+        if self.lease.is_clock_reset(clock_ms, sent_at):
+            # The run is at the next incarnation, whose lists are not read yet.
+            answer = _leased_runner.CallOutcome.UNANSWERED
+        else:
+            self._sync_clock(clock_ms)
         if answer is not _leased_runner.CallOutcome.STARTED:
             # The end of a run tells when it began.
             log = loguru.logger.bind(task=order.task, run=run.number, answer=answer.value)
@@ -309,7 +312,7 @@
                     case _leased_runner.RunSnapshot() if snapshot.is_of_other_incarnation(
                         self.heartbeat
                     ):
-                        self._lose_incarnation()
+                        self._lose_incarnation(keeps_orders=True)
                         await asyncio.sleep(RESTARTED_RETRY_S)
                     case _leased_runner.RunSnapshot():
                         self._apply_snapshot(runner, snapshot, requested_at)
@@ -348,8 +351,8 @@
         self._callbacks.on_availability_changed()
         self.start_queued()
 
-    def _lose_incarnation(self) -> None:
-        """End all runs of an incarnation that is gone, until a heartbeat announces the next one.
+    def _lose_incarnation(self, *, keeps_orders: bool) -> None:
+        """End the runs of an incarnation that is gone, until a heartbeat announces the next one.
 
         The end numbers of the next one start anew, so those of the last may not be acknowledged
         to it.
@@ -358,7 +361,7 @@
             loguru.logger.bind(runner=self.heartbeat.id).warning("runner was restarted")
         self._is_connected = False
         self.runs.acknowledged = 0
-        self._handle_crash()
+        self._handle_crash(keeps_orders=keeps_orders)
         self._callbacks.on_availability_changed()
 
     def _may_renew_lease(self, now: float) -> bool:
@@ -371,10 +374,9 @@
         return self._is_connected and is_answering and not self.runs.must_withhold_lease(now)
 
     async def _handle_failed_renewal(self, failure: _leased_runner.RenewalFailed) -> None:
-        """Handle a renewal without lists.
+        """Handle a renewal without lists: the runner may only be cut off, and its runs go on.
 
-        The runs go on until another incarnation answers at the address or their lease expires: a
-        runner that is silent or refuses connections may be cut off only.
+        They have ended when another incarnation answers at the address, or with their lease.
         """
         now = _clock.monotonic()
         reason = failure.reason
@@ -382,7 +384,7 @@
         self._handle_failed_call(reason, now)
         self._metrics.count_renewal_failure(reason.value)
         if reason is _leased_runner.CallOutcome.REPLACED:
-            self._lose_incarnation()
+            self._lose_incarnation(keeps_orders=False)
             await asyncio.sleep(RESTARTED_RETRY_S)
             return
         if self.lease.has_expired(now):
--- a/src/daisyfall/request/_run.py
+++ b/src/daisyfall/request/_run.py
@@ -52,6 +52,11 @@
         """Return the expected run time here, on a runner of usual speed."""
         return self.order.expected_ms * self.remote_factor
 
+    @property
+    def is_order_open(self) -> bool:
+        """Return whether it isn't known if the runner has carried out the start order."""
+        return self.phase in (Phase.STARTING, Phase.UNANSWERED)
+
     @property
     def may_move(self) -> bool:
         """Return whether the run may be ended here so that its task is placed elsewhere."""
--- a/src/daisyfall/request/_runs.py
+++ b/src/daisyfall/request/_runs.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import math
 
 from daisyfall import _pool_wire
 from daisyfall.policy import (
@@ -271,26 +272,42 @@
             for run in self.run_by_task.values()
         )
 
-    def clear(self, how: str, now: float) -> list[_run.RunEnd]:
-        """End all runs because the runner's incarnation has ended; its end numbers start anew."""
-        ends = [self.finish(run, how, now) for run in list(self.run_by_task.values())]
+    def clear(self, how: str, now: float, *, keeps_orders: bool = False) -> list[_run.RunEnd]:
+        """End all runs because the runner's incarnation has ended; its end numbers start anew.
+
+        With `keeps_orders`, the next incarnation has the same id, and start orders whose answer is
+        open may take effect there: their runs end once it has confirmed a stop and lacks them.
+        """
+        kept = [run for run in self.run_by_task.values() if keeps_orders and run.is_order_open]
+        for run in kept:
+            run.phase = _run.Phase.UNANSWERED
+            run.stop_reason = run.stop_reason or _run.UNANSWERED
+            # Its lease is on the clock of the former incarnation, and bounds nothing here.
+            run.lease_until = math.inf
+            run.missing_since = run.stop_sent_at = 0.0
+        ends = [self.finish(run, how, now) for run in self._others(kept)]
         self.acknowledged = 0
         self.leaves_at = _departures.NEVER
         self.speed = _runner_speed.SpeedMeter()
         return [end for end in ends if end is not None]
 
-    def lose_runner(self, how: str, now: float) -> list[_run.RunEnd]:
+    def lose_runner(self, how: str, now: float, *, keeps_orders: bool = False) -> list[_run.RunEnd]:
         """End all runs but starting ones, because the runner crashed or their leases expired.
 
-        The runner's end numbers continue if it answers again.
+        With `keeps_orders`, unanswered ones go on too. The runner's end numbers continue if it
+        answers again.
         """
-        ends = [
-            self.finish(run, how, now)
-            for run in list(self.run_by_task.values())
-            if run.phase is not _run.Phase.STARTING
+        kept = [
+            run
+            for run in self.run_by_task.values()
+            if run.phase is _run.Phase.STARTING or (keeps_orders and run.is_order_open)
         ]
+        ends = [self.finish(run, how, now) for run in self._others(kept)]
         return [end for end in ends if end is not None]
 
+    def _others(self, kept: list[_run.Run]) -> list[_run.Run]:
+        return [run for run in self.run_by_task.values() if run not in kept]
+
     def crashed_runs(self, crashed_at: float) -> list[list]:
         """Return the rows of a `RunnerCrashed` message."""
         rows = []
