Count the loss of an agent from the last link that told it of tasks

Cause: an entry counted the time until an agent's runs must have ended from the first close of its link, although a later link had told the agent of the tasks and broke before the entry had read the answer. The agent counts from the later one, so its runs could go on after they were placed again. Suspected only: no run with processes shows it.

Change: the wait starts anew when such a link closes, and doesn't end while a link is open on which the agent is about to tell its tasks. The states of the links to agents have a class of their own.

--- a/features/pool_work.feature
+++ b/features/pool_work.feature
@@ -28,6 +28,14 @@
     And agent a reconnects after 0.3 s as the same incarnation with the task
     Then no task is placed again after 3.0 s more
 
+  # The agent counts from the later link, so its runs may go on for longer than those of a lost entry.
+  Scenario: a link that breaks again before the agent's tasks are known starts the wait anew
+    Given an entry whose job has a task at agent a
+    When the link to agent a breaks
+    And it opens and breaks again after 0.9 s, before the agent has told its tasks
+    Then no task is placed again after 1.0 s more
+    And the task is placed again after 0.5 s more
+
   # A configuration was confirmed between the two requests, and the second has to be handled by it.
   Scenario: a job whose route has moved when it is sent again runs in the new pool
     Given an entry whose job has a task at agent a
--- a/features/steps/pool_work_steps.py
+++ b/features/steps/pool_work_steps.py
@@ -120,7 +120,16 @@
 @when("the link to agent a breaks")
 def break_link(context):
     context.link = None
-    context.manager.agent_disconnected("a", context.now)
+    context.manager.agent_disconnected("a", "life-1", context.now)
+
+
+@when("it opens and breaks again after {seconds:g} s, before the agent has told its tasks")
+def flap_link(context, seconds):
+    context.now += seconds
+    context.manager.mark_unreconciled("a")
+    context.link = link_to("life-1")
+    context.manager.expire(context.now)
+    break_link(context)
 
 
 @when("agent a reconnects after {seconds:g} s as {which} incarnation {presence} the task")
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -367,7 +367,7 @@
         now = _clock.monotonic()
         if node.role == _pool_wire.ROLE_AGENT:
             self._placement.mark_runner_unreachable(node.id)
-            self._jobs.agent_disconnected(node.id, now)
+            self._jobs.agent_disconnected(node.id, link.peer.incarnation, now)
         else:
             self._leadership.remove_peer(node.id)
             self._update_leader(now)
--- a/src/daisyfall/request/_pool_job_manager.py
+++ b/src/daisyfall/request/_pool_job_manager.py
@@ -10,6 +10,7 @@
 from daisyfall.policy import _bounds, _evacuations, _fair_shares, _job_queue, _runner_crashes
 from daisyfall.process import _pool_metrics
 from daisyfall.request import (
+    _agent_links,
     _dispatched_tasks,
     _estimates,
     _held_tasks,
@@ -50,8 +51,7 @@
         self._job_by_id: dict[str, _pool_jobs.Job] = {}
         self._answers = _pending_answers.PendingAnswers()
         self._crashes = _runner_crashes.RunnerCrashes()
-        self._disconnected_at_by_agent: dict[str, float] = {}
-        self._unreconciled_agents: set[str] = set()
+        self._links = _agent_links.AgentLinks()
         self._dispatched = _dispatched_tasks.DispatchedTasks()
         self._held = _held_tasks.HeldTasks()
         self._estimates = _estimates.Estimates()
@@ -156,8 +156,7 @@
         so it is placed again at once. One dispatched to an earlier incarnation may still run
         until its lease expires; it is tracked under that incarnation until then.
         """
-        self._unreconciled_agents.discard(agent_id)
-        disconnected_at = self._disconnected_at_by_agent.pop(agent_id, None)
+        disconnected_at = self._links.reconcile(agent_id)
         reported_names = set(message.tasks)
         for job, task in self.tasks_at(agent_id):
             if task.name in reported_names or job.id not in self._job_by_id:
@@ -169,9 +168,8 @@
                 self._dispatched.remove(task)
                 task.agent_id = previous_incarnation
                 self._dispatched.add(job, task)
-                self._disconnected_at_by_agent.setdefault(
-                    previous_incarnation, disconnected_at or _clock.monotonic()
-                )
+                closed_at = disconnected_at or _clock.monotonic()
+                self._links.mark_closed(previous_incarnation, closed_at)
         expected_names = {task.name for _, task in self.tasks_at(agent_id)}
         for name in reported_names - expected_names:
             link.send(_pool_wire.StopTask(name, 0, "job ended"))
@@ -180,11 +178,13 @@
 
     def mark_unreconciled(self, agent_id: str) -> None:
         """Dispatch nothing to a newly connected agent until its tasks are reconciled."""
-        self._unreconciled_agents.add(agent_id)
+        self._links.open(agent_id)
 
-    def agent_disconnected(self, agent_id: str, now: float) -> None:
-        """Record that the link to an agent has closed."""
-        self._disconnected_at_by_agent.setdefault(agent_id, now)
+    def agent_disconnected(self, agent_id: str, incarnation: str, now: float) -> None:
+        """Record that the link to an incarnation of an agent has closed."""
+        tasks = self.tasks_at(agent_id)
+        has_tasks = any(task.agent_incarnation == incarnation for _, task in tasks)
+        self._links.close(agent_id, now, has_tasks=has_tasks)
 
     def waiting_job_ids(self) -> list[str]:
         """Return the ids of the jobs that have tasks waiting for placement, most urgent first."""
@@ -213,7 +213,7 @@
         that could not be run again in time is given up earlier, and every other job as soon as
         waiting on can't help it, at the latest shortly before its deadline.
         """
-        for agent_id, disconnected_at in list(self._disconnected_at_by_agent.items()):
+        for agent_id, disconnected_at in self._links.closed():
             is_fenced = now > disconnected_at + self._bounds.fenced_after_s
             for job, task in self.tasks_at(agent_id):
                 if job.id not in self._job_by_id:
@@ -225,7 +225,7 @@
                 ):
                     self._give_up(job, "agent_lost")
             if is_fenced:
-                del self._disconnected_at_by_agent[agent_id]
+                self._links.forget(agent_id)
         for job, task in self._held.requeue_expired(now, self._job_by_id):
             self._request_placement(job, [task])
         for job, answer in self.limits.due(list(self._job_by_id.values()), now):
@@ -305,8 +305,8 @@
             is_evacuated = link is not None and link.peer.data_centre in self.evacuated
             if is_evacuated:
                 self._metrics.count_retries(_evacuations.EVACUATED)
-            if link is None or is_evacuated or agent_id in self._unreconciled_agents:
-                is_lost = link is None and agent_id in self._disconnected_at_by_agent
+            if link is None or is_evacuated or self._links.is_unreconciled(agent_id):
+                is_lost = link is None and self._links.is_closed(agent_id)
                 can_hold = not (is_lost or is_evacuated)
                 if can_hold and self._held.hold(job, task, agent_id, now):
                     self._callbacks.dial(agent_id)
