Remember cancelled jobs and tell them to entries that reconnect

Cause: a cancellation was passed on once, over the links open at that moment, and nobody remembered it.

Change: entries remember cancelled jobs for 20 s and tell them to each entry to which a link opens. A request for such a job that arrives later is answered as cancelled.

The new scenario of pool_path.feature fails before.

--- a/features/pool_path.feature
+++ b/features/pool_path.feature
@@ -65,6 +65,14 @@
     Then the answer is 410 cancelled
     And all tasks have ended after 0.5 s
 
+  # The other entry passed a cancellation on over the links that were open, and nobody remembered it.
+  Scenario: a job of a frozen entry that is cancelled at another entry doesn't go on
+    Given a platform deployment of 2 entries and 1 agents
+    When one job of 2 tasks of 6000 ms is sent to entry 0, which is then frozen for 2.5 s
+    And the job is cancelled at entry 1 1.5 s after the start of that
+    Then all tasks have ended 0.6 s after entry 0 goes on, and none starts in 1.5 s more
+    And the job is answered as cancelled when it is sent again to entry 0 or 1
+
   Scenario: the tasks of a caller that disconnects are stopped
     Given a platform deployment of 1 entries and 1 agents
     When one job of 2 tasks of 3000 ms is sent and its caller disconnects
--- a/src/daisyfall/process/_incoming_links.py
+++ b/src/daisyfall/process/_incoming_links.py
@@ -63,8 +63,6 @@
                 self._placement.submit_request(peer_id, message, link.peer.data_centre)
             case _pool_wire.CancelPlacement():
                 self._placement.withdraw(peer_id, message.job_id)
-            case _pool_wire.CancelJob():
-                self._jobs.cancel(message.job_id)
             case _pool_wire.PeerHeartbeat():
                 if self._leadership.set_follower(peer_id, is_follower=message.follows_receiver):
                     self._heartbeats.set_incoming_timing(peer_id, link)
--- a/src/daisyfall/process/_pool_entry.py
+++ b/src/daisyfall/process/_pool_entry.py
@@ -49,14 +49,15 @@
         self.settings = settings
         self.metrics = metrics
         self.peers = _pool_peers.PoolPeers(settings.id, self)
+        self._jobs = _pool_job_manager.PoolJobManager(settings.id, settings.bounds, metrics, rng)
         self.shared = _shared_state.SharedState(
             self.peers,
             decode_configuration,
             metrics,
             (settings.data_centre, *settings.data_centres),
-            self._set_evacuated,
+            on_evacuated=self._set_evacuated,
+            on_cancelled=self._jobs.cancel,
         )
-        self._jobs = _pool_job_manager.PoolJobManager(settings.id, settings.bounds, metrics, rng)
         self._placement = _placement_service.PlacementService(
             rng, self._deliver, settings.remote_factor
         )
@@ -255,15 +256,14 @@
 
     async def submit(self, submission: _pool_jobs.Submission) -> _pool_jobs.Answer:
         """Run a job, or join it if it is in progress; a caller that disconnects cancels it."""
+        if self.shared.is_cancelled(submission.job_id):
+            return _pool_jobs.Answer(_pool_jobs.Outcome.CANCELLED, "cancelled")
         return await self._jobs.submit(submission)
 
     def cancel(self, job_id: str) -> bool:
-        """Cancel a job here or else at the other entries; return whether it was here."""
-        is_known = self._jobs.cancel(job_id)
-        if not is_known:
-            for link in self._entry_links().values():
-                link.send(_pool_wire.CancelJob(job_id))
-        return is_known
+        """Cancel a job here and at the other entries; return whether it was here."""
+        self.shared.cancel(job_id)
+        return self._jobs.cancel(job_id)
 
     def _place(self, batch: _job_queue.TaskBatch) -> None:
         """Send a batch to the leader; place it here if this entry leads or has no link to it."""
--- a/src/daisyfall/process/_shared_state.py
+++ b/src/daisyfall/process/_shared_state.py
@@ -1,17 +1,18 @@
-"""State that all entries share: the nodes, the configuration, and the evacuations.
+"""State that all entries share: nodes, configuration, evacuations and cancelled jobs.
 
-It is read from the store and passed on over the links, as an entry may not reach the store. Each
-part has versions of the store, so that an entry never goes back to an older state.
+All but the last are read from the store and passed on over the links, as an entry may not reach the
+store. They have versions of the store, so that an entry never goes back to an older state.
 """
 
 from collections.abc import Callable, Iterable, Sequence
 
 import loguru
 
-from daisyfall import _pool_wire
+from daisyfall import _clock, _pool_wire
 from daisyfall.connection import _link
 from daisyfall.policy import _evacuations
 from daisyfall.process import _pool_metrics, _pool_peers
+from daisyfall.request import _cancellations
 from daisyfall.version import _routes
 
 
@@ -19,7 +20,7 @@
     """The shared state as this entry knows it; `decode` decodes the platform's configuration.
 
     `data_centres` names those of the deployment. `on_evacuated` is called with all data centres
-    that are evacuated when they change.
+    that are evacuated when they change, `on_cancelled` with a job that another entry has cancelled.
     """
 
     def __init__(
@@ -28,7 +29,9 @@
         decode: Callable[[bytes], _routes.Configuration],
         metrics: _pool_metrics.PoolMetrics,
         data_centres: Iterable[str],
+        *,
         on_evacuated: Callable[[frozenset[str]], None],
+        on_cancelled: Callable[[str], object],
     ):
         self.configuration: _routes.Configuration | None = None
         self._document = b""
@@ -37,6 +40,8 @@
         self._metrics = metrics
         self._evacuations = _evacuations.Evacuations(data_centres)
         self._on_evacuated = on_evacuated
+        self._on_cancelled = on_cancelled
+        self._cancellations = _cancellations.Cancellations()
         self.evacuated: frozenset[str] = frozenset()
 
     @property
@@ -77,6 +82,16 @@
         news = self._evacuations.merge_full_read(states, unreadable, version)
         self._pass_on(news, tells_agents=True)
 
+    def cancel(self, job_id: str) -> None:
+        """Tell the other entries of a cancelled job; one without a link when one opens."""
+        self._cancellations.add(job_id, _clock.monotonic())
+        for _, link in self._peers.links(_pool_wire.ROLE_ENTRY):
+            link.send(_pool_wire.CancelJob(job_id))
+
+    def is_cancelled(self, job_id: str) -> bool:
+        """Return whether a job was cancelled lately, here or at another entry."""
+        return self._cancellations.is_cancelled(job_id, _clock.monotonic())
+
     def is_known_data_centre(self, data_centre: str) -> bool:
         """Return whether a data centre is part of the deployment."""
         return self._evacuations.is_known(data_centre)
@@ -130,6 +145,8 @@
         )
         if self.configuration is not None:
             link.send(_pool_wire.ConfigurationUpdate(self.version, self._document))
+        for job_id in self._cancellations.recent(_clock.monotonic()):
+            link.send(_pool_wire.CancelJob(job_id))
 
     def handle(self, message) -> None:
         """Apply an update that another entry has sent."""
@@ -140,6 +157,9 @@
                 self.apply_evacuations(message.rows)
             case _pool_wire.ConfigurationUpdate():
                 self.apply_configuration(message.document)
+            case _pool_wire.CancelJob():
+                self._cancellations.add(message.job_id, _clock.monotonic())
+                self._on_cancelled(message.job_id)
             case _:
                 loguru.logger.bind(kind=type(message).__name__).warning("unexpected message")
 
