Refuse tasks beyond the limit of their step at the agent

Cause: only the scheduling entry checked the limit, and one that wakes doesn't know what another one has placed meanwhile.

Change: a start order carries the limit, and an agent that has as many tasks of the step refuses it. Scheduler and agent share the check.

The new scenario of pool_runs.feature needs the new field.

--- a/features/pool_runs.feature
+++ b/features/pool_runs.feature
@@ -18,6 +18,14 @@
     And 0.2 s pass at the agent
     Then the reported ends are k.0.0:no_room
 
+  # A scheduling entry that was frozen doesn't know of what another one has placed meanwhile.
+  Scenario: an order beyond the limit of tasks of its step on one runner is refused
+    When entry e orders tasks j.0.0 and j.0.1 and k.0.0 of 1000, of which 1 of a step may run here
+    Then the reported ends are j.0.1:step_limit
+    When the runner lists end 1 of j.0.0 as done
+    And entry e orders tasks j.0.1 and j.1.0 of 1000, of which 1 of a step may run here
+    Then the reported ends are j.0.1:step_limit j.0.0:done
+
   Scenario: an order that exceeds the runner's total capacity is refused on arrival
     When entry e orders task j.0.0 of 5000
     Then the reported ends are j.0.0:no_room
--- a/features/steps/pool_runs_steps.py
+++ b/features/steps/pool_runs_steps.py
@@ -1,5 +1,6 @@
 """Steps for the agent's state of the runs at its runner; the clock is simulated by the steps."""
 
+import attrs
 import pool_stand_ins
 from behave import given, step, then, when
 
@@ -46,6 +47,15 @@
     start_queued(context)
 
 
+@when("entry e orders tasks {tasks} of {cpu:d}, of which {limit:d} of a step may run here")
+def send_limited_orders(context, tasks, cpu, limit):
+    for task in tasks.split(" and "):
+        order = attrs.evolve(order_of(task, cpu), max_per_runner=limit)
+        refused = context.runs.accept(order, "e", context.now)
+        record_ends(context, [refused] if refused else [])
+        start_queued(context)
+
+
 @when("its start is confirmed")
 def confirm_start(context):
     context.now += 0.002
--- a/src/daisyfall/_pool_wire.py
+++ b/src/daisyfall/_pool_wire.py
@@ -81,6 +81,7 @@
     route: str = ""
     preferred_rack: str = ""
     latest_start_ms: int = 0
+    max_per_runner: int = 0
 
 
 @_codec.message(53)
--- a/src/daisyfall/policy/_candidates.py
+++ b/src/daisyfall/policy/_candidates.py
@@ -244,14 +244,7 @@
         return NO_LABEL
     if runner.id in avoided:
         return AVOIDED
-    return STEP_LIMIT if _is_at_step_limit(runner, demand) else ""
-
-
-def _is_at_step_limit(
-    runner: _runner_capacity.RunnerCapacity, demand: _runner_capacity.Demand
-) -> bool:
-    if not demand.max_per_runner:
-        return False
-    step = demand.task.rpartition(".")[0]
-    siblings = sum(task.rpartition(".")[0] == step for task in runner.allocation_by_task)
-    return siblings >= demand.max_per_runner
+    is_at_limit = _runner_capacity.is_at_step_limit(
+        demand.task, demand.max_per_runner, runner.allocation_by_task
+    )
+    return STEP_LIMIT if is_at_limit else ""
--- a/src/daisyfall/policy/_runner_capacity.py
+++ b/src/daisyfall/policy/_runner_capacity.py
@@ -2,6 +2,7 @@
 
 import copy
 import math
+from collections.abc import Iterable
 
 import attrs
 
@@ -206,3 +207,15 @@
     return (
         demand.cpu <= cpu and demand.memory_mb <= memory_mb and demand.accelerators <= accelerators
     )
+
+
+def is_at_step_limit(task: str, max_per_runner: int, tasks: Iterable[str]) -> bool:
+    """Return whether a runner with these tasks may have no further one of the step of `task`.
+
+    `max_per_runner` is 0 for no limit.
+    """
+    if not max_per_runner:
+        return False
+    step = task.rpartition(".")[0]
+    siblings = [each for each in tasks if each != task and each.rpartition(".")[0] == step]
+    return len(siblings) >= max_per_runner
--- a/src/daisyfall/request/_pool_jobs.py
+++ b/src/daisyfall/request/_pool_jobs.py
@@ -243,6 +243,7 @@
             self.submission.route.name,
             step.preferred_rack,
             max(0, round(self.latest_start * 1000) - sent_ms),
+            step.max_per_runner,
         )
 
     def requeue(self, task: Task, *, avoids_agent: bool) -> None:
--- a/src/daisyfall/request/_run.py
+++ b/src/daisyfall/request/_run.py
@@ -97,6 +97,7 @@
 # The agent's reasons for the end of a run or the refusal of an order.
 NO_RUNNER = "no_runner"
 NO_ROOM = "no_room"
+STEP_LIMIT = "step_limit"  # as many tasks of the step as allowed are at the runner
 DELAYED = "delayed"  # the order was held up on its way
 EVACUATED = "evacuated"  # the runner's data centre is evacuated
 DRAINING = "draining"
--- a/src/daisyfall/request/_runs.py
+++ b/src/daisyfall/request/_runs.py
@@ -81,6 +81,9 @@
         is_full = len(self._queue) >= MAX_QUEUED_ORDERS
         if is_full or not _runner_capacity.has_room(self.capacity, order):
             return _run.RunEnd(order, entry, _run.NO_ROOM, 0.0)
+        tasks = {*self.run_by_task, *(queued.order.task for queued in self._queue)}
+        if _runner_capacity.is_at_step_limit(order.task, order.max_per_runner, tasks):
+            return _run.RunEnd(order, entry, _run.STEP_LIMIT, 0.0)
         if known is not None:
             known.stop_reason = known.stop_reason or _run.CANCELLED
         self._queue.append(_run.QueuedOrder(order, entry, now + order.queue_timeout_ms / 1000))
@@ -285,7 +288,9 @@
             # Its lease is on the clock of the former incarnation, and bounds nothing here.
             run.lease_until = math.inf
             run.missing_since = run.stop_sent_at = 0.0
-        ends = [self.finish(run, how, now) for run in self._others(kept)]
+        ends = [
+            self.finish(run, how, now) for run in list(self.run_by_task.values()) if run not in kept
+        ]
         self.acknowledged = 0
         self.leaves_at = _departures.NEVER
         self.speed = _runner_speed.SpeedMeter()
@@ -302,12 +307,11 @@
             for run in self.run_by_task.values()
             if run.phase is _run.Phase.STARTING or (keeps_orders and run.is_order_open)
         ]
-        ends = [self.finish(run, how, now) for run in self._others(kept)]
+        ends = [
+            self.finish(run, how, now) for run in list(self.run_by_task.values()) if run not in kept
+        ]
         return [end for end in ends if end is not None]
 
-    def _others(self, kept: list[_run.Run]) -> list[_run.Run]:
-        return [run for run in self.run_by_task.values() if run not in kept]
-
     def crashed_runs(self, crashed_at: float) -> list[list]:
         """Return the rows of a `RunnerCrashed` message."""
         rows = []
