Use a new address of the store while a process runs

Cause: SIGHUP read the file, but the client of the store kept the address of the start of the process.

Change: the client moves to the new address. As the file may change without a signal, it is also read again while the store doesn't answer, at most once a second.

--- a/src/daisyfall/platform/_agent_node.py
+++ b/src/daisyfall/platform/_agent_node.py
@@ -40,4 +40,5 @@
         _node_process.spawn(
             stack, store.put(_node_process.NODES_TABLE, settings.node_id, row.encode())
         )
-        await agent.run(_node_process.watch_signals(path, settings))
+        settings_file = _node_process.SettingsFile(path, settings, store)
+        await agent.run(_node_process.watch_signals(settings_file))
--- a/src/daisyfall/platform/_entry_node.py
+++ b/src/daisyfall/platform/_entry_node.py
@@ -69,4 +69,5 @@
                 _operator_rows.OperatorRows(entry.shared).update,
             ),
         )
-        await entry.run(_node_process.watch_signals(path, settings), close_callers)
+        settings_file = _node_process.SettingsFile(path, settings, store)
+        await entry.run(_node_process.watch_signals(settings_file), close_callers)
--- a/src/daisyfall/platform/_node_process.py
+++ b/src/daisyfall/platform/_node_process.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from daisyfall import _clock, _ids
-from daisyfall.platform import _node_settings
+from daisyfall.platform import _node_settings, _store
 from daisyfall.process import _pool_metrics
 
 METRICS_PORT = 9464
@@ -17,6 +17,8 @@
 # Longer than any stop may take: a stopping process ends its open requests itself.
 SHUTDOWN_TIMEOUT_S = 30.0
 LISTEN_BACKLOG = 512
+# Shortest time between two looks at the settings file while the store doesn't answer.
+RELOAD_INTERVAL_S = 1.0
 
 
 def shared_settings(settings: _node_settings.NodeSettings, bounds) -> dict:
@@ -34,28 +36,52 @@
     }
 
 
-def watch_signals(path: str, settings: _node_settings.NodeSettings) -> asyncio.Event:
+class SettingsFile:
+    """Settings file of a process, of which the address of the store may change while it runs."""
+
+    def __init__(self, path: str, settings: _node_settings.NodeSettings, store: _store.Store):
+        self._path = path
+        self._settings = settings
+        self._store = store
+        store.on_failure = self._reload_after_failure
+        self._reloaded_at = _clock.monotonic()
+
+    def reload(self) -> None:
+        """Read the file again; keep the previous settings if it is not valid."""
+        self._reloaded_at = _clock.monotonic()
+        try:
+            found = _node_settings.load(self._path, 0)
+        except _node_settings.NodeSettingsError as error:
+            loguru.logger.bind(reason=str(error)).error(
+                "invalid settings file; keeping the previous settings"
+            )
+            return
+        changed = (
+            found.grace_s != self._settings.grace_s
+            or found.store_address != self._settings.store_address
+        )
+        loguru.logger.bind(changed=changed).info("settings file reloaded")
+        self._settings = found
+        self._store.move(found.store_address)
+
+    def _reload_after_failure(self) -> None:
+        """Look for a new address, as the file may change without a signal."""
+        if _clock.monotonic() - self._reloaded_at >= RELOAD_INTERVAL_S:
+            self.reload()
+
+
+def watch_signals(settings_file: SettingsFile) -> asyncio.Event:
     """Return an event that SIGTERM and SIGINT set; on SIGHUP, reload the settings file."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path, settings)
+    loop.add_signal_handler(signal.SIGHUP, settings_file.reload)
+    # Until now SIGHUP was ignored.
+    settings_file.reload()
     return stop
 
 
-def _reload(path: str, settings: _node_settings.NodeSettings) -> None:
-    try:
-        found = _node_settings.load(path, 0)
-    except _node_settings.NodeSettingsError as error:
-        loguru.logger.bind(reason=str(error)).error(
-            "invalid settings file; keeping the previous settings"
-        )
-        return
-    changed = found.grace_s != settings.grace_s or found.store_address != settings.store_address
-    loguru.logger.bind(changed=changed).info("settings file reloaded")
-
-
 async def serve(stack, application: web.Application, address: str):
     """Listen at `host:port`; return a function that stops it once open requests have ended."""
     host, _, port = address.partition(":")
--- a/src/daisyfall/platform/_store.py
+++ b/src/daisyfall/platform/_store.py
@@ -68,7 +68,10 @@
 
 
 class Store:
-    """Client of the store; `count_error` is called with the reason of each failed call."""
+    """Client of the store; `count_error` is called with the reason of each failed call.
+
+    `on_failure` is called after each failed call.
+    """
 
     def __init__(
         self,
@@ -77,11 +80,16 @@
         random_source: random.Random,
         count_error: Callable[[str], None],
     ):
-        self._url = f"http://{address}"
+        self.move(address)
+        self.on_failure: Callable[[], None] = lambda: None
         self._session = session
         self._random = random_source
         self._count_error = count_error
 
+    def move(self, address: str) -> None:
+        """Send all further calls to another address, `host:port`."""
+        self._url = f"http://{address}"
+
     async def put(self, table: str, key: str, value: bytes) -> None:
         """Write one row; retry until the store confirms it."""
         row = {"Table": table, "part": "", "Key": key, "Value": base64.b64encode(value).decode()}
@@ -136,6 +144,7 @@
 
     async def _back_off(self, call: str, reason: str, attempt: int, longest_delay_s: float) -> None:
         self._count_error(reason)
+        self.on_failure()
         if attempt == 1:
             loguru.logger.bind(call=call, reason=reason).warning("store call failed")
         delay_s = min(SHORTEST_RETRY_DELAY_S * 2 ** min(attempt - 1, 8), longest_delay_s)
