Ignore SIGHUP until its handler is installed

Cause: the handler was installed last, and until then SIGHUP ends a process.

Measured: the new scenario of settings_file.feature fails with the former deploy/node.py (SIG_DFL) and passes now.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -3,8 +3,12 @@
 import gc
 import os
 import pathlib
+import signal
 import sys
 
+# It would end the process until the event loop handles it.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
 
 # What is imported lives as long as the process; `node.main` enables the collector again.
--- a/features/settings_file.feature
+++ b/features/settings_file.feature
@@ -16,3 +16,8 @@
     Given a process whose settings file names the store at 127.0.0.1:1
     When the file names no store and the process is told
     Then the process calls the store at 127.0.0.1:1
+
+  # Its handler was installed last, so that a SIGHUP during the imports ended the process.
+  Scenario: SIGHUP doesn't end a process that is starting
+    When the command of the deploy file begins to import the program
+    Then SIGHUP is ignored until it is handled
