Let another writer leave odd entries during the soak

The soak sends agents heartbeats that name no runner (another service, birth or address, deep nesting, large numbers) and writes such rows into the table of nodes. A run without any success after its last fault is reported as lost instead of ending with an error.

--- a/src/daisyfall_standins/soak.py
+++ b/src/daisyfall_standins/soak.py
@@ -42,6 +42,7 @@
         self._crash_rng = random.Random(seed + 1)
         self._evacuation_rng = random.Random(seed + 2)
         self._call_rng = random.Random(seed + 3)
+        self._writer_rng = random.Random(seed + 4)
         self._seconds = seconds
         self._injection_ends_at = 0.0
         self._submissions: list[asyncio.Task] = []
@@ -63,6 +64,7 @@
             self._crash_runners(),
             self._evacuate(),
             self._disturb_calls(),
+            self._write_odd_entries(),
             *fault_tasks,
         )
         self._last_fault_ended_at = time.monotonic()
@@ -87,8 +89,12 @@
                 answered_at
                 for answered_at, is_success in results.answers
                 if is_success and answered_at > self._last_fault_ended_at
-            )
+            ),
+            default=None,
         )
+        recovery_s = None
+        if first_success_at is not None:
+            recovery_s = round(first_success_at - self._last_fault_ended_at, 2)
         return {
             "faults": len(self.faults),
             "jobs": results.jobs,
@@ -102,7 +108,7 @@
             "config_went_back": self.config_regressions,
             "bad_exits": self._world.unexpected_exits,
             "slowest_evacuation_s": round(max(self._world.operator.delays_s(), default=0.0), 2),
-            "slowest_recovery_s": round(first_success_at - self._last_fault_ended_at, 2),
+            "slowest_recovery_s": recovery_s,
         }
 
     async def _load(self) -> None:
@@ -157,6 +163,13 @@
             self._record_fault(fault)
             await fault_injection.inject(self._world, fault)
 
+    async def _write_odd_entries(self) -> None:
+        """Let another writer leave odd entries among the runners and nodes."""
+        agents = list(self._world.runner_by_agent)
+        while time.monotonic() < self._injection_ends_at:
+            await asyncio.sleep(self._writer_rng.uniform(0.1, 1.0))
+            await self._world.write_odd_entry(self._writer_rng, self._writer_rng.choice(agents))
+
     def _record_fault(self, fault: str) -> None:
         self.faults.append(fault)
         elapsed_s = self._seconds - self._injection_ends_at + time.monotonic()
