Don't trust a missing birth or a high number of a heartbeat

Change: a birth that isn't known doesn't tell two incarnations apart, and a number counts only until the heartbeats are missed.

Measured: two new scenarios of runner_announcements.feature fail without the change and pass with it.

--- a/features/runner_announcements.feature
+++ b/features/runner_announcements.feature
@@ -18,12 +18,18 @@
       | i-1    | pool not-named                        |
       | i-1    | a birth before that of the runner     |
       | i-1    | a birth after that of the runner      |
+      | i-1    | no birth                              |
 
   Scenario: the runner's own heartbeats count after one of another writer
     When a heartbeat announces i-1 with pool not-named
     And the runner is draining according to its own heartbeat
     Then the runner takes no tasks
 
+  Scenario: a number that is too high keeps the runner out only until its heartbeats are missed
+    When another writer sends the runner's heartbeat with the highest number
+    And the runner announces itself for the time of the missed heartbeats
+    Then runner i-1 of pool pool is in use
+
   Scenario: a heartbeat of another writer that comes first doesn't keep the runner out
     When the agent is restarted and first hears of i-9 at 127.0.0.1:8999
     And the runner announces itself
--- a/features/steps/runner_announcements_steps.py
+++ b/features/steps/runner_announcements_steps.py
@@ -17,6 +17,7 @@
 BIRTH_BY_CHANGE = {
     "a birth before that of the runner": 0.5,
     "a birth after that of the runner": 2,
+    "no birth": 0,
 }
 
 
@@ -148,6 +149,15 @@
     event_loop.run(context, start())
 
 
+@when("another writer sends the runner's heartbeat with the highest number")
+def send_highest_number(context):
+    async def send():
+        heartbeat = attrs.evolve(pool_stand_ins.runner_heartbeat(), sequence=2**53)
+        context.machine.session.handle_heartbeat(heartbeat)
+
+    event_loop.run(context, send())
+
+
 @when("the runner announces itself")
 def announce_true(context):
     event_loop.run(context, context.machine.beat(SETTLE_S))
--- a/src/daisyfall/process/_leased_runner.py
+++ b/src/daisyfall/process/_leased_runner.py
@@ -78,8 +78,9 @@
         return RunnerIdentity(self.id, self.born_ms, self.pool, self.address)
 
     def is_same_incarnation(self, other: "RunnerHeartbeat") -> bool:
-        """Return whether both heartbeats are from the same incarnation of a runner."""
-        return (self.id, self.born_ms) == (other.id, other.born_ms)
+        """Return whether both may be from one incarnation; a birth of 0 is not known."""
+        is_born_known = bool(self.born_ms and other.born_ms)
+        return self.id == other.id and not (is_born_known and self.born_ms != other.born_ms)
 
 
 @attrs.frozen
--- a/src/daisyfall/process/_runner_session.py
+++ b/src/daisyfall/process/_runner_session.py
@@ -99,13 +99,13 @@
         return now - self._heartbeat_at <= self._heartbeat_timeout_s
 
     def handle_heartbeat(self, heartbeat: _leased_runner.RunnerHeartbeat) -> None:
-        """Apply a heartbeat of the runner in use, or find out whether another one is to be used.
-
-        A heartbeat that is older than the last of its runner is ignored.
-        """
+        """Apply a heartbeat of the runner in use, or find out whether another one is to be used."""
         if self.heartbeat is None or heartbeat.identity != self.heartbeat.identity:
             self._candidates.announce(heartbeat)
-        elif heartbeat.sequence > self.heartbeat.sequence:
+            return
+        # The last one's number is not trusted for long, as it may be of another writer.
+        is_recent = self._is_heartbeat_recent(_clock.monotonic())
+        if heartbeat.sequence > self.heartbeat.sequence or not is_recent:
             self._apply_heartbeat(heartbeat)
 
     def _consider_runner(
@@ -128,8 +128,8 @@
         keeps_orders = current is not None and heartbeat.id == current.id
         if current is not None and not heartbeat.is_same_incarnation(current):
             self._handle_crash(keeps_orders=keeps_orders)
-        log = loguru.logger.bind(runner=heartbeat.id, born_ms=heartbeat.born_ms, cpu=heartbeat.cpu)
-        log.info("new runner incarnation")
+        log = loguru.logger.bind(runner=heartbeat.id, cpu=heartbeat.cpu)
+        log.bind(born_ms=heartbeat.born_ms).info("new runner incarnation")
         self._disconnect_runner(keeps_orders=keeps_orders)
         self._runner = runner
         self._apply_heartbeat(heartbeat)
@@ -189,8 +189,7 @@
         now = _clock.monotonic()
         if self._runner is None or self.unavailable_reason(now) or now < self._unknown_runs_until:
             return
-        # A start order renews the lease of all runs at the runner, so none is sent while the
-        # renewal is withheld.
+        # A start order renews the lease of all runs at the runner.
         if not self._may_renew_lease(now):
             return
         for run in self.runs.pop_startable(now):
