Don't take a rejected fencing token for the answer of an announced runner

Cause: a rejected token confirmed the announced runner, though it tells nothing of the birth. The rejection also went unused: the token was raised only by calls to the runner in use.

Change: a probe that is rejected raises the token, which the session and the probes share, and asks again.

--- a/features/pool_stand_ins.py
+++ b/features/pool_stand_ins.py
@@ -99,6 +99,7 @@
         self.started_at_by_task: dict[str, float] = {}
         self.stopped_at_by_task: dict[str, float] = {}
         self.acknowledged = 0
+        self.fencing_token = 0
         self.failure: _leased_runner.CallOutcome | None = None
         self._clock_origin = _clock.monotonic()
 
@@ -130,9 +131,11 @@
             self.running = [each for each in self.running if each != task]
         return self.confirms_stops
 
-    async def renew_lease(self, _lease_until_ms, _token, acknowledged, _wait_ms, _timeout_s):
+    async def renew_lease(self, _lease_until_ms, token, acknowledged, _wait_ms, _timeout_s):
         self.acknowledged = acknowledged
         await asyncio.sleep(ANSWER_S)
+        if token < self.fencing_token:
+            return _leased_runner.RenewalFailed(_leased_runner.CallOutcome.FENCED)
         if self.failure is not None:
             return _leased_runner.RenewalFailed(self.failure)
         now = _clock.monotonic()
--- a/features/runner_announcements.feature
+++ b/features/runner_announcements.feature
@@ -25,6 +25,17 @@
     And the runner is draining according to its own heartbeat
     Then the runner takes no tasks
 
+  # A rejected fencing token doesn't tell which incarnation has answered.
+  Scenario: a heartbeat with another birth ends nothing while the runner rejects the agent's token
+    When the runner has seen a higher fencing token
+    And a heartbeat announces i-1 with a birth after that of the runner
+    Then no run has ended and runner i-1 of pool pool is in use
+
+  Scenario: a runner that has seen a higher fencing token is used
+    When the agent is restarted with a lower fencing token
+    And the runner announces itself
+    Then runner i-1 of pool pool is in use
+
   Scenario: a number that is too high keeps the runner out only until its heartbeats are missed
     When another writer sends the runner's heartbeat with the highest number
     And the runner announces itself for the time of the missed heartbeats
--- a/features/steps/runner_announcements_steps.py
+++ b/features/steps/runner_announcements_steps.py
@@ -129,6 +129,17 @@
     assert reason == _run.DRAINING, reason
 
 
+@when("the runner has seen a higher fencing token")
+def raise_runner_token(context):
+    context.machine.runner_by_address["127.0.0.1:1"].fencing_token = 2
+
+
+@when("the agent is restarted with a lower fencing token")
+def restart_with_lower_token(context):
+    raise_runner_token(context)
+    context.machine.start_agent()
+
+
 @when("the agent is restarted and first hears of {runner_id} at {address}")
 def restart_with_address(context, runner_id, address):
     restart(context, id=runner_id, address=address, born_ms=2)
--- a/src/daisyfall/process/_runner_candidates.py
+++ b/src/daisyfall/process/_runner_candidates.py
@@ -12,7 +12,7 @@
 import loguru
 
 from daisyfall import _clock
-from daisyfall.process import _leased_runner, _pool_metrics
+from daisyfall.process import _fencing_token, _leased_runner, _pool_metrics
 
 PROBE_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 0.25
@@ -68,13 +68,13 @@
     def __init__(
         self,
         connect: ConnectRunner,
-        fencing_token: Callable[[], int],
+        token: _fencing_token.FencingToken,
         lifetime_s: float,
         consider: ConsiderRunner,
         metrics: _pool_metrics.PoolMetrics,
     ) -> None:
         self._connect = connect
-        self._fencing_token = fencing_token
+        self._token = token
         self._lifetime_s = lifetime_s
         self._consider = consider
         self._metrics = metrics
@@ -101,8 +101,9 @@
         try:
             runner = self._connect(candidate.heartbeat)
             while _clock.monotonic() < candidate.expires_at:
-                token = self._fencing_token()
-                answer = await runner.renew_lease(None, token, 0, 0, PROBE_TIMEOUT_S)
+                answer = await runner.renew_lease(None, self._token.value, 0, 0, PROBE_TIMEOUT_S)
+                if answer == _leased_runner.RenewalFailed(_leased_runner.CallOutcome.FENCED):
+                    self._token.increase()
                 is_confirmed = _is_confirmed(candidate.heartbeat, answer)
                 if is_confirmed and self._consider(candidate.heartbeat, runner):
                     return
@@ -134,9 +135,6 @@
     match answer:
         case _leased_runner.RunSnapshot():
             return not answer.is_of_other_incarnation(heartbeat)
-        # Only a runner with the expected id compares fencing tokens.
-        case _leased_runner.RenewalFailed(_leased_runner.CallOutcome.FENCED):
-            return True
         case _leased_runner.RenewalFailed(_leased_runner.CallOutcome.REPLACED):
             return False
     return None
--- a/src/daisyfall/process/_runner_session.py
+++ b/src/daisyfall/process/_runner_session.py
@@ -10,6 +10,7 @@
 from daisyfall.process import (
     _background_tasks,
     _call_health,
+    _fencing_token,
     _leased_runner,
     _pool_metrics,
     _runner_callbacks,
@@ -31,8 +32,6 @@
 START_LEASE_MS = 400
 # A runner without a heartbeat for more than this many intervals gets no new tasks.
 MAX_MISSED_HEARTBEATS = 3
-# Added to a fencing token that the runner rejects as too low; tokens are start times of agents.
-TOKEN_INCREMENT_MS = 60_000
 # The lease is not renewed if the runner has not answered a renewal for this long.
 MAX_ANSWER_AGE_S = 0.4
 
@@ -57,7 +56,7 @@
         self.heartbeat: _leased_runner.RunnerHeartbeat | None = None
         self._bounds = bounds
         self._heartbeat_timeout_s = MAX_MISSED_HEARTBEATS * heartbeat_s
-        self._token = token
+        self._token = _fencing_token.FencingToken(token)
         self._metrics = metrics
         self._heartbeat_at = 0.0
         self._runner: _leased_runner.LeasedRunner | None = None
@@ -73,7 +72,7 @@
         self._lost_runs: list[list] = []
         self._candidates = _runner_candidates.RunnerCandidates(
             connect,
-            lambda: self._token,
+            self._token,
             self._heartbeat_timeout_s,
             self._consider_runner,
             metrics,
@@ -202,7 +201,7 @@
         lease_until_ms = self.lease.extend(lease_s, sent_at)
         answer, clock_ms = await runner.start(
             _leased_runner.StartOrder(
-                order.task, run.number, order.payload, lease_until_ms, self._token
+                order.task, run.number, order.payload, lease_until_ms, self._token.value
             ),
             self._health.timeout_s,
         )
@@ -250,7 +249,7 @@
             await asyncio.sleep(delay_s)
             requested_at = _clock.monotonic()
             snapshot = await runner.renew_lease(
-                None, self._token, self.runs.acknowledged, 0, self._health.timeout_s
+                None, self._token.value, self.runs.acknowledged, 0, self._health.timeout_s
             )
             if runner is self._runner and isinstance(snapshot, _leased_runner.RunSnapshot):
                 self._apply_snapshot(runner, snapshot, requested_at)
@@ -258,8 +257,7 @@
     def _handle_failed_call(self, answer: _leased_runner.CallOutcome, now: float) -> None:
         match answer:
             case _leased_runner.CallOutcome.FENCED:
-                self._token += TOKEN_INCREMENT_MS
-                loguru.logger.bind(token=self._token).warning("fencing token was too low")
+                self._token.increase()
             case _leased_runner.CallOutcome.UNHEALTHY | _leased_runner.CallOutcome.UNREACHABLE:
                 self._health.pause(now)
                 self._callbacks.on_availability_changed()
@@ -279,7 +277,9 @@
                 self._calls.spawn(self._stop_run(self._runner, run))
 
     async def _stop_run(self, runner: _leased_runner.LeasedRunner, run: _run.Run) -> None:
-        is_confirmed = await runner.stop(run.task, run.number, self._token, self._health.timeout_s)
+        is_confirmed = await runner.stop(
+            run.task, run.number, self._token.value, self._health.timeout_s
+        )
         if is_confirmed:
             self.runs.stop_confirmed(run, _clock.monotonic())
 
@@ -299,7 +299,7 @@
                 lease_until_ms = self.lease.extend(self._bounds.lease_s, requested_at)
             snapshot = await runner.renew_lease(
                 lease_until_ms,
-                self._token,
+                self._token.value,
                 self.runs.acknowledged,
                 wait_ms if self._is_connected else 0,
                 self._health.timeout_s,
@@ -345,7 +345,7 @@
             self._unknown_runs_until = now + self._bounds.max_stopping_s
             loguru.logger.bind(task=orphan.task, run=orphan.run).warning("stopping an unknown run")
             self._calls.spawn(
-                runner.stop(orphan.task, orphan.run, self._token, self._health.timeout_s)
+                runner.stop(orphan.task, orphan.run, self._token.value, self._health.timeout_s)
             )
         self._callbacks.on_availability_changed()
         self.start_queued()
