Keep open start orders past a lease of the former incarnation

What callers would see: a task runs twice when a runner is back under its id and then answers nothing for a while.

Cause: runs whose start order the next incarnation may carry out were kept when the former one ended, but ended as lost when the lease of the former one had expired. That lease is on another clock and bounds nothing there.

Change: a run is kept for as long as its order may take effect, whatever the event; the events no longer pass on whether to keep it. An agent looks at the tasks of a step only if an order has a limit.

The features wait until a runner takes tasks now, instead of 50 ms.

--- a/features/pool_leases.feature
+++ b/features/pool_leases.feature
@@ -36,6 +36,14 @@
     When the runner confirms stops
     Then the task of entry f has ended as unanswered
 
+  Scenario: a task that the next incarnation may have started doesn't end with a lease
+    Given an agent whose runner runs a task of entry e and confirms no stop
+    When the runner restarts under its id and then gets an order of entry f
+    And the runner announces itself again and then answers nothing for 1.2 s
+    Then only the task of entry e has ended, as crashed
+    When the runner answers and confirms stops
+    Then the task of entry f has ended as unanswered
+
   Scenario: a runner that is replaced without leaving has crashed
     Given an agent whose runner runs a task of entry e and confirms no stop
     When another incarnation of the runner announces itself
--- a/features/pool_stand_ins.py
+++ b/features/pool_stand_ins.py
@@ -5,7 +5,7 @@
 from daisyfall import _clock, _pool_wire
 from daisyfall.connection import _link
 from daisyfall.policy import _bounds
-from daisyfall.process import _leased_runner
+from daisyfall.process import _leased_runner, _pool_metrics, _runner_callbacks, _runner_session
 
 BOUNDS = _bounds.derive(1.0, 0.05, 1.3)
 POOL = "pool"
@@ -146,3 +146,26 @@
             for task in self.running
         )
         return _leased_runner.RunSnapshot(self.clock_ms(), self.born_ms, running, self.ended)
+
+
+def new_session(connect, *, heartbeat_s=1.5, on_runs_ended, on_crashed=lambda _id, _runs: None):
+    """Return an agent's session with a runner; `connect` returns the client of a heartbeat."""
+    session = _runner_session.RunnerSession(
+        BOUNDS, heartbeat_s, 1, connect, _pool_metrics.PoolMetrics()
+    )
+    session.set_callbacks(
+        _runner_callbacks.RunnerCallbacks(
+            on_runs_ended=on_runs_ended,
+            on_availability_changed=lambda: None,
+            check_pause=lambda: None,
+            on_crashed=on_crashed,
+        )
+    )
+    return session
+
+
+async def wait_available(session) -> None:
+    """Wait until a session's runner takes tasks."""
+    async with asyncio.timeout(2.0):
+        while session.unavailable_reason(_clock.monotonic()):
+            await asyncio.sleep(0.005)
--- a/features/steps/pool_leases_steps.py
+++ b/features/steps/pool_leases_steps.py
@@ -11,8 +11,6 @@
 from daisyfall.process import (
     _call_health,
     _leased_runner,
-    _pool_metrics,
-    _runner_callbacks,
     _runner_session,
 )
 from daisyfall.request import _run
@@ -40,21 +38,14 @@
         return context.runner
 
     async def start_session():
-        context.session = _runner_session.RunnerSession(
-            BOUNDS, 1.5, 1, connect, _pool_metrics.PoolMetrics()
-        )
-        context.crashes = []
-        context.ends = []
-        context.session.set_callbacks(
-            _runner_callbacks.RunnerCallbacks(
-                on_runs_ended=context.ends.extend,
-                on_availability_changed=lambda: None,
-                check_pause=lambda: None,
-                on_crashed=lambda crash_id, runs: context.crashes.append((crash_id, runs)),
-            )
+        context.ends, context.crashes = [], []
+        context.session = pool_stand_ins.new_session(
+            connect,
+            on_runs_ended=context.ends.extend,
+            on_crashed=lambda crash_id, runs: context.crashes.append((crash_id, runs)),
         )
         context.session.handle_heartbeat(pool_stand_ins.runner_heartbeat())
-        await asyncio.sleep(0.05)
+        await pool_stand_ins.wait_available(context.session)
         accept_order(context, "j.0.0", "e")
         await asyncio.sleep(0.05)
         assert context.runner.started == ["j.0.0"]
@@ -123,16 +114,32 @@
 
 
 @when("the runner announces itself again and lists the task of entry f")
-def announce_restarted(context):
-    async def announce_again():
-        fields = {"id": "i-1", "born_ms": context.runner.born_ms}
-        # The same process answers the next client of the agent.
-        context.next_runner = context.runner
-        heartbeat = attrs.evolve(pool_stand_ins.runner_heartbeat(life=2), **fields)
-        context.session.handle_heartbeat(heartbeat)
-        await asyncio.sleep(0.3)
+def announce_and_list(context):
+    event_loop.run(context, announce_restarted(context))
+    event_loop.run(context, asyncio.sleep(0.2))
+
+
+async def announce_restarted(context):
+    """Announce the restarted runner; return as soon as it is in use."""
+    # The same process answers the next client of the agent.
+    context.next_runner = context.runner
+    heartbeat = attrs.evolve(
+        pool_stand_ins.runner_heartbeat(life=2), id="i-1", born_ms=context.runner.born_ms
+    )
+    context.session.handle_heartbeat(heartbeat)
+    async with asyncio.timeout(1.0):
+        while context.session.heartbeat.born_ms != heartbeat.born_ms:
+            await asyncio.sleep(0)
 
-    event_loop.run(context, announce_again())
+
+@when("the runner announces itself again and then answers nothing for {seconds:g} s")
+def announce_and_fall_silent(context, seconds):
+    async def fall_silent():
+        await announce_restarted(context)
+        context.runner.failure = _leased_runner.CallOutcome.UNANSWERED
+        await asyncio.sleep(seconds)
+
+    event_loop.run(context, fall_silent())
 
 
 @then("only the task of entry e has ended, as crashed")
@@ -141,6 +148,12 @@
     assert ends == [("j.0.0", _run.CRASHED)], ends
 
 
+@when("the runner answers and confirms stops")
+def answer_and_confirm(context):
+    context.runner.failure = None
+    confirm_stops(context)
+
+
 @when("the runner confirms stops")
 def confirm_stops(context):
     async def tick():
--- a/features/steps/runner_announcements_steps.py
+++ b/features/steps/runner_announcements_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from daisyfall import _clock, _pool_wire
-from daisyfall.process import _leased_runner, _pool_metrics, _runner_callbacks, _runner_session
+from daisyfall.process import _leased_runner, _runner_session
 from daisyfall.request import _run
 
 HEARTBEAT_S = 0.1
@@ -45,13 +45,8 @@
         return absent
 
     def start_agent(self):
-        self.session = _runner_session.RunnerSession(
-            pool_stand_ins.BOUNDS, HEARTBEAT_S, 1, self.connect, _pool_metrics.PoolMetrics()
-        )
-        self.session.set_callbacks(
-            _runner_callbacks.RunnerCallbacks(
-                self.ends.extend, lambda: None, lambda: None, lambda _id, _runs: None
-            )
+        self.session = pool_stand_ins.new_session(
+            self.connect, heartbeat_s=HEARTBEAT_S, on_runs_ended=self.ends.extend
         )
 
     async def beat(self, seconds):
@@ -68,7 +63,8 @@
     async def start():
         machine = context.machine = Machine()
         machine.start_agent()
-        await machine.beat(0.1)
+        machine.session.handle_heartbeat(pool_stand_ins.runner_heartbeat())
+        await pool_stand_ins.wait_available(machine.session)
         order = _pool_wire.RunTask("j.0.0", 1, "j", "{}", 1000, 10, 0, 5000.0, 1000)
         machine.session.runs.accept(order, "e", _clock.monotonic())
         machine.session.start_queued()
--- a/src/daisyfall/policy/_runner_capacity.py
+++ b/src/daisyfall/policy/_runner_capacity.py
@@ -217,5 +217,5 @@
     if not max_per_runner:
         return False
     step = task.rpartition(".")[0]
-    siblings = [each for each in tasks if each != task and each.rpartition(".")[0] == step]
+    siblings = {each for each in tasks if each != task and each.rpartition(".")[0] == step}
     return len(siblings) >= max_per_runner
--- a/src/daisyfall/process/_runner_session.py
+++ b/src/daisyfall/process/_runner_session.py
@@ -124,12 +124,14 @@
             case _runner_candidates.Replacement.UPDATE:
                 self._apply_heartbeat(heartbeat)
                 return True
-        keeps_orders = current is not None and heartbeat.id == current.id
+        is_same_id = current is not None and heartbeat.id == current.id
+        if is_same_id:
+            self.runs.reopen_orders()
         if current is not None and not heartbeat.is_same_incarnation(current):
-            self._handle_crash(keeps_orders=keeps_orders)
+            self._handle_crash()
         log = loguru.logger.bind(runner=heartbeat.id, cpu=heartbeat.cpu)
         log.bind(born_ms=heartbeat.born_ms).info("new runner incarnation")
-        self._disconnect_runner(keeps_orders=keeps_orders)
+        self._disconnect_runner(keeps_orders=is_same_id)
         self._runner = runner
         self._apply_heartbeat(heartbeat)
         self._renewal_task = asyncio.create_task(self._renew_forever(runner))
@@ -168,20 +170,17 @@
         self._callbacks.on_runs_ended(self.runs.clear(_run.LOST, now, keeps_orders=keeps_orders))
         self._callbacks.on_runs_ended(self.runs.reject_queued(_run.LOST))
 
-    def _handle_crash(self, *, keeps_orders: bool = False) -> None:
+    def _handle_crash(self) -> None:
         """End the runs of a runner that is gone, and report them as crashed unless it has left."""
         now = _clock.monotonic()
         if self.heartbeat.is_draining:
-            self._callbacks.on_runs_ended(
-                self.runs.lose_runner(_run.LOST, now, keeps_orders=keeps_orders)
-            )
+            self._callbacks.on_runs_ended(self.runs.lose_runner(_run.LOST, now))
             return
         runs = self._lost_runs + self.runs.crashed_runs(self._silent_since or now)
         self._lost_runs = []
         if runs:
             self._callbacks.on_crashed(f"{self.heartbeat.id}/{self.heartbeat.born_ms}", runs)
-        ends = self.runs.lose_runner(_run.CRASHED, now, keeps_orders=keeps_orders)
-        self._callbacks.on_runs_ended(ends)
+        self._callbacks.on_runs_ended(self.runs.lose_runner(_run.CRASHED, now))
 
     def start_queued(self) -> None:
         """Send start orders for the queued tasks that fit into the free capacity."""
@@ -311,7 +310,9 @@
                     case _leased_runner.RunSnapshot() if snapshot.is_of_other_incarnation(
                         self.heartbeat
                     ):
-                        self._lose_incarnation(keeps_orders=True)
+                        if self._is_connected:
+                            self.runs.reopen_orders()
+                        self._lose_incarnation()
                         await asyncio.sleep(RESTARTED_RETRY_S)
                     case _leased_runner.RunSnapshot():
                         self._apply_snapshot(runner, snapshot, requested_at)
@@ -350,7 +351,7 @@
         self._callbacks.on_availability_changed()
         self.start_queued()
 
-    def _lose_incarnation(self, *, keeps_orders: bool) -> None:
+    def _lose_incarnation(self) -> None:
         """End the runs of an incarnation that is gone, until a heartbeat announces the next one.
 
         The end numbers of the next one start anew, so those of the last may not be acknowledged
@@ -360,7 +361,7 @@
             loguru.logger.bind(runner=self.heartbeat.id).warning("runner was restarted")
         self._is_connected = False
         self.runs.acknowledged = 0
-        self._handle_crash(keeps_orders=keeps_orders)
+        self._handle_crash()
         self._callbacks.on_availability_changed()
 
     def _may_renew_lease(self, now: float) -> bool:
@@ -383,7 +384,7 @@
         self._handle_failed_call(reason, now)
         self._metrics.count_renewal_failure(reason.value)
         if reason is _leased_runner.CallOutcome.REPLACED:
-            self._lose_incarnation(keeps_orders=False)
+            self._lose_incarnation()
             await asyncio.sleep(RESTARTED_RETRY_S)
             return
         if self.lease.has_expired(now):
--- a/src/daisyfall/request/_run.py
+++ b/src/daisyfall/request/_run.py
@@ -52,16 +52,16 @@
         """Return the expected run time here, on a runner of usual speed."""
         return self.order.expected_ms * self.remote_factor
 
-    @property
-    def is_order_open(self) -> bool:
-        """Return whether it isn't known if the runner has carried out the start order."""
-        return self.phase in (Phase.STARTING, Phase.UNANSWERED)
-
     @property
     def may_move(self) -> bool:
         """Return whether the run may be ended here so that its task is placed elsewhere."""
         return self.phase is Phase.RUNNING and not self.stop_reason and self.order.may_reschedule
 
+    def may_start(self, now: float) -> bool:
+        """Return whether the runner may still carry out the start order."""
+        is_unanswered = self.phase is Phase.UNANSWERED and now <= self.lease_until
+        return is_unanswered or self.phase is Phase.STARTING
+
 
 @attrs.define(slots=True, eq=False)
 class QueuedOrder:
--- a/src/daisyfall/request/_runs.py
+++ b/src/daisyfall/request/_runs.py
@@ -6,7 +6,9 @@
 """
 
 import collections
+import itertools
 import math
+from collections.abc import Callable
 
 from daisyfall import _pool_wire
 from daisyfall.policy import (
@@ -81,7 +83,7 @@
         is_full = len(self._queue) >= MAX_QUEUED_ORDERS
         if is_full or not _runner_capacity.has_room(self.capacity, order):
             return _run.RunEnd(order, entry, _run.NO_ROOM, 0.0)
-        tasks = {*self.run_by_task, *(queued.order.task for queued in self._queue)}
+        tasks = itertools.chain(self.run_by_task, (each.order.task for each in self._queue))
         if _runner_capacity.is_at_step_limit(order.task, order.max_per_runner, tasks):
             return _run.RunEnd(order, entry, _run.STEP_LIMIT, 0.0)
         if known is not None:
@@ -275,42 +277,42 @@
             for run in self.run_by_task.values()
         )
 
+    def reopen_orders(self) -> None:
+        """Wait anew for the outcome of open start orders, as the runner is back under its id.
+
+        The next incarnation may carry them out; their leases, on the clock of the former one, bound
+        nothing there. Their runs end once it has confirmed a stop and its lists lack them.
+        """
+        for run in self.run_by_task.values():
+            if run.phase in (_run.Phase.STARTING, _run.Phase.UNANSWERED):
+                run.phase = _run.Phase.UNANSWERED
+                run.stop_reason = run.stop_reason or _run.UNANSWERED
+                run.lease_until = math.inf
+                run.missing_since = run.stop_sent_at = 0.0
+
     def clear(self, how: str, now: float, *, keeps_orders: bool = False) -> list[_run.RunEnd]:
-        """End all runs because the runner's incarnation has ended; its end numbers start anew.
+        """End all runs because another incarnation is used; its end numbers start anew.
 
-        With `keeps_orders`, the next incarnation has the same id, and start orders whose answer is
-        open may take effect there: their runs end once it has confirmed a stop and lacks them.
+        With `keeps_orders`, those go on whose start order it may carry out.
         """
-        kept = [run for run in self.run_by_task.values() if keeps_orders and run.is_order_open]
-        for run in kept:
-            run.phase = _run.Phase.UNANSWERED
-            run.stop_reason = run.stop_reason or _run.UNANSWERED
-            # Its lease is on the clock of the former incarnation, and bounds nothing here.
-            run.lease_until = math.inf
-            run.missing_since = run.stop_sent_at = 0.0
-        ends = [
-            self.finish(run, how, now) for run in list(self.run_by_task.values()) if run not in kept
-        ]
+        ends = self._end_all(how, now, lambda run: keeps_orders and run.may_start(now))
         self.acknowledged = 0
         self.leaves_at = _departures.NEVER
         self.speed = _runner_speed.SpeedMeter()
-        return [end for end in ends if end is not None]
+        return ends
 
-    def lose_runner(self, how: str, now: float, *, keeps_orders: bool = False) -> list[_run.RunEnd]:
-        """End all runs but starting ones, because the runner crashed or their leases expired.
+    def lose_runner(self, how: str, now: float) -> list[_run.RunEnd]:
+        """End all runs that have started, because the runner crashed or their leases expired.
 
-        With `keeps_orders`, unanswered ones go on too. The runner's end numbers continue if it
-        answers again.
+        The runner's end numbers continue if it answers again.
         """
-        kept = [
-            run
-            for run in self.run_by_task.values()
-            if run.phase is _run.Phase.STARTING or (keeps_orders and run.is_order_open)
-        ]
-        ends = [
-            self.finish(run, how, now) for run in list(self.run_by_task.values()) if run not in kept
-        ]
-        return [end for end in ends if end is not None]
+        return self._end_all(how, now, lambda run: run.may_start(now))
+
+    def _end_all(
+        self, how: str, now: float, is_kept: Callable[[_run.Run], bool]
+    ) -> list[_run.RunEnd]:
+        runs = [run for run in self.run_by_task.values() if not is_kept(run)]
+        return [end for run in runs if (end := self.finish(run, how, now)) is not None]
 
     def crashed_runs(self, crashed_at: float) -> list[list]:
         """Return the rows of a `RunnerCrashed` message."""
