--- a/deploy/node.py
+++ b/deploy/node.py
@@ -6,7 +6,7 @@
 import signal
 import sys
 
-# It would end the process until the event loop handles it.
+# The event loop handles it later; until then it would end the process.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import event_loop
+import pool_adapter_steps
 import yarl
 from aiohttp import test_utils
 from behave import given, then, when
@@ -88,17 +89,6 @@
     assert context.errors == [_node_table.UNREADABLE_ROW] * count, context.errors
 
 
-HEARTBEAT = {
-    "Service": "p",
-    "Address": "10.0.0.1:80",
-    "State": "ready",
-    "Capacity": {"Cpu": 16000, "MemMb": 100, "Gpu": 0},
-    "Labels": ["a", "r1"],
-    "Sequence": 4,
-    "born": 17,
-}
-
-
 def post_heartbeat(context, runner_id, document):
     """Post a heartbeat to an agent's API; keep its status, and what was passed on."""
     context.passed_on = []
@@ -120,19 +110,25 @@
 @when("another writer sends a heartbeat with {field} {value} to an agent")
 def send_heartbeat(context, field, value):
     document = nested(1000) if value == "nested 1000 deep" else value
-    others = json.dumps({name: HEARTBEAT[name] for name in HEARTBEAT if name != field})
+    others = json.dumps(
+        {
+            name: pool_adapter_steps.HEARTBEAT[name]
+            for name in pool_adapter_steps.HEARTBEAT
+            if name != field
+        }
+    )
     post_heartbeat(context, "i-1", f'{others[:-1]},"{field}":{document}}}')
 
 
 @when("another writer sends a heartbeat of the runner {runner_id} to an agent")
 def send_heartbeat_of(context, runner_id):
     runner_id = "i" * 300 if runner_id == "300 characters" else runner_id
-    post_heartbeat(context, runner_id, json.dumps(HEARTBEAT))
+    post_heartbeat(context, runner_id, json.dumps(pool_adapter_steps.HEARTBEAT))
 
 
 @when("a runner sends a heartbeat to its agent")
 def send_valid_heartbeat(context):
-    post_heartbeat(context, "i-1", json.dumps(HEARTBEAT))
+    post_heartbeat(context, "i-1", json.dumps(pool_adapter_steps.HEARTBEAT))
 
 
 @then("it is acknowledged, left out and counted as invalid")
--- a/src/daisyfall/_pool_wire.py
+++ b/src/daisyfall/_pool_wire.py
@@ -64,7 +64,8 @@
     placed elsewhere. `run` numbers the attempts of a task. `sent_ms` is the entry's monotonic
     clock when the order was sent, 0 if unknown. On another rack than `preferred_rack` the task
     takes longer. `latest_start_ms` after the order was sent, a run elsewhere could still meet the
-    objective of the job; 0 if none could.
+    objective of the job; 0 if none could. At most `max_per_runner` tasks of the step may be at the
+    runner at a time, 0 for no limit.
     """
 
     task: str
--- a/src/daisyfall/platform/_addresses.py
+++ b/src/daisyfall/platform/_addresses.py
@@ -1,4 +1,4 @@
-"""Addresses in what other writers have written."""
+"""Checks of addresses in documents that any writer may have written."""
 
 import ipaddress
 
--- a/src/daisyfall/platform/_node_process.py
+++ b/src/daisyfall/platform/_node_process.py
@@ -37,7 +37,10 @@
 
 
 class SettingsFile:
-    """Settings file of a process, of which the address of the store may change while it runs."""
+    """Settings file of a process, of which the address of the store may change while it runs.
+
+    The file may change without a signal, so it is also read again when calls of `store` fail.
+    """
 
     def __init__(self, path: str, settings: _node_settings.NodeSettings, store: _store.Store):
         self._path = path
@@ -65,7 +68,6 @@
         self._store.move(found.store_address)
 
     def _reload_after_failure(self) -> None:
-        """Look for a new address, as the file may change without a signal."""
         if _clock.monotonic() - self._reloaded_at >= RELOAD_INTERVAL_S:
             self.reload()
 
@@ -77,7 +79,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, settings_file.reload)
-    # Until now SIGHUP was ignored.
+    # SIGHUP was ignored while the process started.
     settings_file.reload()
     return stop
 
--- a/src/daisyfall/platform/_node_table.py
+++ b/src/daisyfall/platform/_node_table.py
@@ -21,16 +21,13 @@
         self._peers = peers
         self._count_error = count_error
         self._node_by_id: dict[str, _pool_peers.Node] = {}
-        self._unreadable_versions: set[int] = set()
+        self._unreadable_version_by_key: dict[str, int] = {}
 
     def update(self, rows: list[_store.Row], read_version: int | None) -> None:
         """Apply changed rows, or replace all rows if they were read as of a version."""
         if read_version is not None:
-            keys = {row.key for row in rows}
-            self._node_by_id = {
-                node_id: node for node_id, node in self._node_by_id.items() if node_id in keys
-            }
-            self._unreadable_versions.intersection_update(row.version for row in rows)
+            for key in self._node_by_id.keys() - {row.key for row in rows}:
+                del self._node_by_id[key]
         for row in rows:
             self._apply(row)
         loguru.logger.bind(nodes=len(self._node_by_id)).info("table of nodes updated")
@@ -43,12 +40,14 @@
     def _apply(self, row: _store.Row) -> None:
         if row.value is None:
             self._node_by_id.pop(row.key, None)
+            self._unreadable_version_by_key.pop(row.key, None)
             return
         found = _node_row.NodeRow.decode(row.value)
         if found is not None:
             self._node_by_id[row.key] = _pool_peers.Node(row.key, found.role, found.address)
-        elif row.version not in self._unreadable_versions:
-            self._unreadable_versions.add(row.version)
+        elif self._unreadable_version_by_key.get(row.key) != row.version:
+            # A row that is read again is counted once.
+            self._unreadable_version_by_key[row.key] = row.version
             self._count_error(UNREADABLE_ROW)
             log = loguru.logger.bind(key=row.key[:60], version=row.version)
             log.warning("a row of the table of nodes names no node")
--- a/src/daisyfall/process/_agent_api.py
+++ b/src/daisyfall/process/_agent_api.py
@@ -1,11 +1,10 @@
 """HTTP server of an agent: runner announcements, health, status and metrics."""
 
-import json
 from typing import Protocol
 
 from aiohttp import web
 
-from daisyfall import errors
+from daisyfall import _json, errors
 from daisyfall.process import _announcement, _health_api, _metrics, _settings
 
 ANNOUNCEMENT_LIMIT_BYTES = 64 * 1024
@@ -66,8 +65,8 @@
 
 async def _read_json(request: web.Request) -> object:
     try:
-        return json.loads(await request.read())
+        return _json.loads(await request.read())
     except web.HTTPRequestEntityTooLarge as error:
         raise errors.DispatchError(errors.Kind.TOO_LARGE) from error
-    except (ValueError, RecursionError) as error:
+    except ValueError as error:
         raise errors.DispatchError(errors.Kind.MALFORMED) from error
--- a/src/daisyfall/process/_entry.py
+++ b/src/daisyfall/process/_entry.py
@@ -18,6 +18,7 @@
     _peer_session,
 )
 from daisyfall.process import (
+    _background_tasks,
     _entry_peers,
     _health_api,
     _membership,
@@ -51,6 +52,7 @@
         self.settings = settings
         self.incarnation = _ids.new_incarnation()
         self.metrics = _metrics.Metrics()
+        self._background_tasks = _background_tasks.BackgroundTasks("background task")
         table = settings.table
         client = _table.HttpTable(table.url, table.timeout_ms / 1000, settings.id)
         self.table = _metered_table.MeteredTable(client, self.metrics)
@@ -78,7 +80,7 @@
         self.fencer = _fencer.Fencer(self.delivery, settings)
         self.publisher = _publisher.Publisher(self.table, self.objects, self._apply_lists)
         self.peers = _entry_peers.EntryPeers(
-            settings, self.shard_manager, self.publisher, self._spawn
+            settings, self.shard_manager, self.publisher, self._background_tasks.spawn
         )
         self.forwarder = _forwarder.Forwarder(
             settings, self.shard_manager, self.owner, self.peers.link_by_id, self.metrics
@@ -104,14 +106,13 @@
         self.metrics.track_lease_margin(
             lambda: self.shard_manager.lease.remaining(_clock.monotonic())
         )
-        self._tasks: set[asyncio.Task] = set()
         self._listing: set[str] = set()
 
     # Callbacks of the shard manager.
 
     def on_snapshot(self, rows: dict[str, _table.Row]) -> None:
         """Apply changed lists, desired states of upstreams, and the set of entries."""
-        self._spawn(self._update_lists(rows.get(_publisher.HEAD_KEY)))
+        self._background_tasks.spawn(self._update_lists(rows.get(_publisher.HEAD_KEY)))
         prefix = _ownership.DESIRED_STATE_PREFIX
         desired_states = {
             key.removeprefix(prefix): row.value["wish"]
@@ -168,7 +169,7 @@
             return
         session = _agent_session.AgentSession(hello, socket)
         if not session.listed:
-            self._spawn(self._list_agent(session))
+            self._background_tasks.spawn(self._list_agent(session))
         lease = self.settings.lease
         session.send(self._heartbeat(session))
         await session.run(
@@ -190,7 +191,9 @@
                 await asyncio.sleep(self.settings.lease.poll_ms / 1000)
 
     def _on_agent_stopped(self, session: _agent_session.AgentSession, latest_id_ms: int) -> None:
-        self._spawn(self._record_agent_stop(session.agent_id, session.incarnation, latest_id_ms))
+        self._background_tasks.spawn(
+            self._record_agent_stop(session.agent_id, session.incarnation, latest_id_ms)
+        )
 
     async def _record_agent_stop(self, agent_id: str, incarnation: str, latest_id_ms: int) -> None:
         # Another entry may record the stop first. If nobody records it, the agent counts as
@@ -373,16 +376,6 @@
             "dispatcher": self.dispatcher.snapshot(),
         }
 
-    def _spawn(self, coroutine) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.opt(exception=task.exception()).error("background task failed")
-
 
 async def run(settings: _settings.Settings) -> None:
     """Run an entry until SIGTERM or SIGINT, then stop gracefully."""
--- a/src/daisyfall/process/_fencing_token.py
+++ b/src/daisyfall/process/_fencing_token.py
@@ -6,7 +6,7 @@
 TOKEN_INCREMENT_MS = 60_000
 
 
-class FencingToken:
+class Token:
     """The present token, which is raised when the runner has seen a higher one."""
 
     def __init__(self, value: int) -> None:
--- a/src/daisyfall/process/_leased_runner.py
+++ b/src/daisyfall/process/_leased_runner.py
@@ -78,9 +78,8 @@
         return RunnerIdentity(self.id, self.born_ms, self.pool, self.address)
 
     def is_same_incarnation(self, other: "RunnerHeartbeat") -> bool:
-        """Return whether both may be from one incarnation; a birth of 0 is not known."""
-        is_born_known = bool(self.born_ms and other.born_ms)
-        return self.id == other.id and not (is_born_known and self.born_ms != other.born_ms)
+        """Return whether both may be from one incarnation."""
+        return self.id == other.id and not _differ(self.born_ms, other.born_ms)
 
 
 @attrs.frozen
@@ -113,8 +112,7 @@
 
     def is_of_other_incarnation(self, heartbeat: RunnerHeartbeat) -> bool:
         """Return whether a runner has answered that was restarted under the same id."""
-        is_known = bool(self.born_ms and heartbeat.born_ms)
-        return is_known and self.born_ms != heartbeat.born_ms
+        return _differ(self.born_ms, heartbeat.born_ms)
 
 
 @attrs.frozen
@@ -146,3 +144,8 @@
         Without `lease_until_ms` the lease is not renewed. Ended runs up to number `acknowledged`
         are dropped from the runner's list. The runner waits at most `wait_ms` for a run to end.
         """
+
+
+def _differ(born_ms: int, other_born_ms: int) -> bool:
+    """Return whether two births are of different incarnations; 0 is a birth that is not known."""
+    return bool(born_ms and other_born_ms) and born_ms != other_born_ms
--- a/src/daisyfall/process/_object_store.py
+++ b/src/daisyfall/process/_object_store.py
@@ -4,12 +4,12 @@
 protocol is implemented in this module only.
 """
 
-import json
 import urllib.parse
 from typing import Protocol
 
 import aiohttp
 
+from daisyfall import _json
 from daisyfall.process import _table
 
 
@@ -60,8 +60,8 @@
         url = f"{self._url}?{urllib.parse.urlencode({'prefix': prefix})}"
         _, body = await self._call("GET", url)
         try:
-            return json.loads(body)["names"]
-        except (ValueError, KeyError, RecursionError) as error:
+            return _json.loads(body)["names"]
+        except (ValueError, KeyError) as error:
             raise ObjectStoreError(
                 _table.Effect.NONE, f"list is not JSON with names: {error}"
             ) from error
--- a/src/daisyfall/process/_runner.py
+++ b/src/daisyfall/process/_runner.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import dataclasses
-import json
 from typing import Protocol
 
 import aiohttp
 import attrs
 
+from daisyfall import _json
 from daisyfall.request import _task_queue
 
 # Several results share one link message, so each must stay well below the message size limit.
@@ -171,8 +171,8 @@
     if body is None:
         return Lost(f"the runner's answer is larger than {RESULT_LIMIT_BYTES} bytes")
     try:
-        answer = json.loads(body)
-    except (ValueError, RecursionError):
+        answer = _json.loads(body)
+    except ValueError:
         answer = None
     match status, answer:
         case 200, {"result": value}:
--- a/src/daisyfall/process/_runner_candidates.py
+++ b/src/daisyfall/process/_runner_candidates.py
@@ -12,7 +12,7 @@
 import loguru
 
 from daisyfall import _clock
-from daisyfall.process import _fencing_token, _leased_runner, _pool_metrics
+from daisyfall.process import _background_tasks, _fencing_token, _leased_runner, _pool_metrics
 
 PROBE_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 0.25
@@ -59,7 +59,6 @@
 
     heartbeat: _leased_runner.RunnerHeartbeat
     expires_at: float
-    task: asyncio.Task | None = None
 
 
 class RunnerCandidates:
@@ -68,7 +67,7 @@
     def __init__(
         self,
         connect: ConnectRunner,
-        token: _fencing_token.FencingToken,
+        token: _fencing_token.Token,
         lifetime_s: float,
         consider: ConsiderRunner,
         metrics: _pool_metrics.PoolMetrics,
@@ -78,6 +77,7 @@
         self._lifetime_s = lifetime_s
         self._consider = consider
         self._metrics = metrics
+        self._probes = _background_tasks.BackgroundTasks("a probe of an announced runner")
         self._candidate_by_identity: dict[_leased_runner.RunnerIdentity, Candidate] = {}
 
     def announce(self, heartbeat: _leased_runner.RunnerHeartbeat) -> None:
@@ -94,7 +94,7 @@
             return
         candidate = Candidate(heartbeat, expires_at)
         self._candidate_by_identity[heartbeat.identity] = candidate
-        candidate.task = asyncio.create_task(self._probe(candidate))
+        self._probes.spawn(self._probe(candidate))
 
     async def _probe(self, candidate: Candidate) -> None:
         reason = "no_answer"
@@ -112,11 +112,6 @@
                 if is_confirmed is False:
                     break
                 await asyncio.sleep(PROBE_INTERVAL_S)
-        except Exception as error:
-            # A bad announcement may not end the process, nor keep its place among the candidates.
-            log = loguru.logger.bind(runner=candidate.heartbeat.id).opt(exception=error)
-            log.error("an announced runner can't be used")
-            reason = "error"
         finally:
             del self._candidate_by_identity[candidate.heartbeat.identity]
         self._ignore(candidate.heartbeat, reason)
--- a/src/daisyfall/process/_runner_session.py
+++ b/src/daisyfall/process/_runner_session.py
@@ -56,7 +56,7 @@
         self.heartbeat: _leased_runner.RunnerHeartbeat | None = None
         self._bounds = bounds
         self._heartbeat_timeout_s = MAX_MISSED_HEARTBEATS * heartbeat_s
-        self._token = _fencing_token.FencingToken(token)
+        self._token = _fencing_token.Token(token)
         self._metrics = metrics
         self._heartbeat_at = 0.0
         self._runner: _leased_runner.LeasedRunner | None = None
--- a/src/daisyfall/request/_operator_api.py
+++ b/src/daisyfall/request/_operator_api.py
@@ -1,12 +1,11 @@
 """HTTP API for operators."""
 
 import asyncio
-import json
 import uuid
 
 from aiohttp import web
 
-from daisyfall import _clock, errors
+from daisyfall import _clock, _json, errors
 from daisyfall.process import _metrics, _ownership, _settings, _shard_manager, _table
 from daisyfall.request import _delivery
 from daisyfall.version import _lists, _lists_diff, _publisher
@@ -267,8 +266,8 @@
 
 async def _read_object(request: web.Request) -> dict:
     try:
-        body = json.loads(await request.read())
-    except (ValueError, RecursionError) as error:
+        body = _json.loads(await request.read())
+    except ValueError as error:
         raise errors.DispatchError(errors.Kind.MALFORMED, str(error)) from error
     if not isinstance(body, dict):
         raise errors.invalid_field("body", type(body).__name__, "a JSON object")
--- a/src/daisyfall/request/_submission.py
+++ b/src/daisyfall/request/_submission.py
@@ -1,13 +1,12 @@
 """Parsing and validation of a job submission, and the digest of its content."""
 
 import hashlib
-import json
 from typing import Any
 
 import attrs
 import cbor2
 
-from daisyfall import _ids, errors
+from daisyfall import _ids, _json, errors
 from daisyfall.request import _work
 
 MAX_TASKS = 1900
@@ -47,8 +46,8 @@
 def parse(buyer: str, body: bytes) -> Submission:
     """Return the submission in a request body; raise `DispatchError` naming the invalid field."""
     try:
-        document = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        document = _json.loads(body)
+    except ValueError as error:
         raise errors.DispatchError(
             errors.Kind.MALFORMED,
             str(error),
--- a/src/daisyfall_standins/leased_runner.py
+++ b/src/daisyfall_standins/leased_runner.py
@@ -192,10 +192,10 @@
 
     def heartbeat(self) -> dict:
         """Return the body of the next heartbeat."""
-        return self.last_heartbeat() | {"Sequence": next(self._heartbeat_sequence)}
+        return self.describe() | {"Sequence": next(self._heartbeat_sequence)}
 
-    def last_heartbeat(self) -> dict:
-        """Return the body of a heartbeat that is older than any next one."""
+    def describe(self) -> dict:
+        """Return what the runner tells of itself in each heartbeat."""
         return {
             "Service": self.pool,
             "Address": self.address,
@@ -207,7 +207,6 @@
             "Capacity": {"Cpu": self.cpu, "MemMb": self.memory_mb, "Gpu": 0},
             "Labels": ["a", self.rack],
             "ClockMs": int(self.clock_ms()),
-            "Sequence": 0,
             "born": self.born_ms,
         }
 
--- a/src/daisyfall_standins/odd_writer.py
+++ b/src/daisyfall_standins/odd_writer.py
@@ -1,6 +1,5 @@
-"""Another writer on the platform: leaves entries that name no runner or node, and odd requests."""
+"""Another writer on the platform, whose entries name no runner or node."""
 
-import base64
 import contextlib
 import json
 import random
@@ -10,7 +9,7 @@
 
 DEEP_LEVELS = 1000
 CALL_TIMEOUT_S = 1.0
-# Like the numbers of the platform, but higher than any true one.
+# Higher than the number of any heartbeat of a runner.
 HIGH_SEQUENCE = 2**50
 
 
@@ -33,27 +32,30 @@
     )
 
 
-def random_heartbeat(rng: random.Random, heartbeat: dict, host: str) -> tuple[str, str]:
-    """Return the id and body of a heartbeat that names no runner, made from a runner's own one."""
-    body = heartbeat | {"Sequence": HIGH_SEQUENCE}
+def random_heartbeat(
+    rng: random.Random, runner_id: str, description: dict, host: str
+) -> tuple[str, str]:
+    """Return the id and body of a heartbeat that names no runner, or not the true one.
+
+    It is made from what the runner with this id tells of itself; `host` is that of the runner.
+    """
+    body = description | {"Sequence": HIGH_SEQUENCE}
     foreign = body | {"Service": "not-named", "Address": f"{host}:8999"}
-    changes = (
-        ("i-foreign", json.dumps(foreign | {"born": time.time_ns() // 1_000_000})),
-        ("", json.dumps(foreign)),
-        ("", json.dumps(body | {"Service": "not-named"})),
-        ("", json.dumps(body | {"born": body["born"] + 1})),
-        ("", json.dumps(body | {"Address": f"{host}:65536"})),
-        ("", json.dumps(body | {"Sequence": 2**64})),
-        ("", json.dumps(body | {"State": "asleep"})),
-        ("", json.dumps(body | {"Labels": 0})[:-2] + _nested(DEEP_LEVELS) + "}"),
-        ("", "[" * DEEP_LEVELS),
+    without_birth = {name: body[name] for name in body if name != "born"}
+    return rng.choice(
+        (
+            ("i-foreign", json.dumps(foreign | {"born": time.time_ns() // 1_000_000})),
+            (runner_id, json.dumps(foreign)),
+            (runner_id, json.dumps(body | {"Service": "not-named"})),
+            (runner_id, json.dumps(body | {"born": body["born"] + 1})),
+            (runner_id, json.dumps(without_birth)),
+            (runner_id, json.dumps(body | {"Address": f"{host}:65536"})),
+            (runner_id, json.dumps(body | {"Sequence": 2**64})),
+            (runner_id, json.dumps(body | {"State": "asleep"})),
+            (runner_id, f'{json.dumps(body)[:-1]},"Labels":{_nested(DEEP_LEVELS)}}}'),
+            (runner_id, "[" * DEEP_LEVELS),
+        )
     )
-    return rng.choice(changes)
-
-
-def encode_row(value: str) -> str:
-    """Return the value of a row as the store keeps it."""
-    return base64.b64encode(value.encode()).decode()
 
 
 async def post(session: aiohttp.ClientSession, url: str, document: str) -> None:
--- a/src/daisyfall_standins/platform_world.py
+++ b/src/daisyfall_standins/platform_world.py
@@ -285,11 +285,11 @@
         """Write entries that name nothing: a heartbeat to an agent, and a row among the nodes."""
         ip = self._agent_ips[int(agent.rpartition("-")[2])]
         runner = self.runner_by_agent[agent]
-        runner_id, document = odd_writer.random_heartbeat(rng, runner.last_heartbeat(), ip)
-        url = f"http://{ip}:{CONTROL_PORT}/instances/{runner_id or runner.id}/heartbeat"
+        runner_id, document = odd_writer.random_heartbeat(rng, runner.id, runner.describe(), ip)
+        url = f"http://{ip}:{CONTROL_PORT}/instances/{runner_id}/heartbeat"
         await odd_writer.post(self.session, url, document)
-        row = odd_writer.encode_row(odd_writer.random_node_row(rng))
-        self.store.put(NODES_TABLE, ODD_KEY, row)
+        row = odd_writer.random_node_row(rng)
+        self.store.put(NODES_TABLE, ODD_KEY, base64.b64encode(row.encode()).decode())
 
     async def _start_node(self, role: str, name: str, ip: str) -> None:
         port = NODE_PORT + (role == "agent")
--- a/src/daisyfall_standins/soak.py
+++ b/src/daisyfall_standins/soak.py
@@ -9,6 +9,7 @@
 import random
 import sys
 import time
+from collections.abc import Callable
 
 import aiohttp
 import fire
@@ -57,13 +58,16 @@
         await asyncio.sleep(platform_world.LEADER_STABLE_S)
         self._injection_ends_at = time.monotonic() + self._seconds
         probe_task = asyncio.create_task(self._probe())
-        fault_tasks = [self._inject_faults() for _ in range(MAX_CONCURRENT_FAULTS)]
+        fault_tasks = [
+            self._inject_faults(self._rng, 1.5, self._draw_fault)
+            for _ in range(MAX_CONCURRENT_FAULTS)
+        ]
         load_task = asyncio.create_task(self._load())
         await asyncio.gather(
             self._configure(),
             self._crash_runners(),
             self._evacuate(),
-            self._disturb_calls(),
+            self._inject_faults(self._call_rng, 1.0, self._draw_call_fault),
             self._write_odd_entries(),
             *fault_tasks,
         )
@@ -146,22 +150,23 @@
                 await fault_injection.inject(self._world, fault)
             await asyncio.sleep(rng.uniform(0.1, 0.5))
 
-    async def _inject_faults(self) -> None:
-        agents = list(self._world.runner_by_agent)
+    async def _inject_faults(
+        self, rng: random.Random, longest_pause_s: float, draw: Callable[[], str]
+    ) -> None:
+        """Inject one fault after the other that `draw` returns."""
         while time.monotonic() < self._injection_ends_at:
-            await asyncio.sleep(self._rng.uniform(0.1, 1.5))
-            fault = fault_injection.random_fault(self._rng, self._world.entry_names, agents)
+            await asyncio.sleep(rng.uniform(0.1, longest_pause_s))
+            fault = draw()
             self._record_fault(fault)
             await fault_injection.inject(self._world, fault)
 
-    async def _disturb_calls(self) -> None:
-        """Disturb the calls to one runner after the other."""
+    def _draw_fault(self) -> str:
         agents = list(self._world.runner_by_agent)
-        while time.monotonic() < self._injection_ends_at:
-            await asyncio.sleep(self._call_rng.uniform(0.1, 1.0))
-            fault = fault_injection.random_call_fault(self._call_rng, agents)
-            self._record_fault(fault)
-            await fault_injection.inject(self._world, fault)
+        return fault_injection.random_fault(self._rng, self._world.entry_names, agents)
+
+    def _draw_call_fault(self) -> str:
+        agents = list(self._world.runner_by_agent)
+        return fault_injection.random_call_fault(self._call_rng, agents)
 
     async def _write_odd_entries(self) -> None:
         """Let another writer leave odd entries among the runners and nodes."""
