Show that a task runs without the label that it requires

A runner that is dark for 0.1 s and is back under its id as another kind gets tasks that require the former label.

The stand-in of a runner learns the silent crash, and announces itself as soon as it has started.

--- a/review/world-2/runner.py
+++ b/review/world-2/runner.py
@@ -34,7 +34,10 @@
         self.labels = list(labels)
         self.id = f"i-{world.rng.getrandbits(40):010x}"
         self.is_up = True
+        self.is_dark = False
+        self._started = asyncio.Event()
         self._transports = set()
+        self._former = set()
         self._new_life()
 
     def _new_life(self):
@@ -53,6 +56,23 @@
         """Return the time since the start of this life."""
         return (time.monotonic() - self._origin) * 1000
 
+    def go_dark(self):
+        """Lose power: all that runs has ended, and nothing is answered any more."""
+        self.advance()
+        for run in list(self.runs.values()):
+            self.world.note_end(self, run, "crashed", self.clock_ms())
+        self.runs = {}
+        self.is_up = False
+        self.is_dark = True
+        self._former, self._transports = self._transports, set()
+
+    def wake(self):
+        """Have power again, under the same id; connections of before are reset when they are used."""
+        self._new_life()
+        self.is_up = True
+        self.is_dark = False
+        self._started.set()
+
     def crash(self):
         """End the process with all that it runs."""
         self.advance()
@@ -70,6 +90,7 @@
         self._new_life()
         self.is_up = True
         await self.listen()
+        self._started.set()
 
     async def serve(self, stack):
         """Listen until the end of the play, but while it is down."""
@@ -108,13 +129,16 @@
     async def beat(self, session):
         """Send heartbeats to the agent until cancelled."""
         while True:
+            self._started.clear()
             if self.is_up:
                 with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
                     self._sequence += 1
                     url = f"http://{self._control}/instances/{self.id}/heartbeat"
                     async with session.post(url, json=self._describe(), timeout=aiohttp.ClientTimeout(total=1)) as reply:
                         await reply.read()
-            await self.world.sleep(HEARTBEAT_S if self.is_up else 0.05)
+            # A runner announces itself as soon as it has started.
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._started.wait(), HEARTBEAT_S)
 
     def _describe(self):
         return {
@@ -134,6 +158,8 @@
 
     def _guarded(self, path, handle):
         async def guarded(request):
+            if request.transport in self._former:
+                return self._reset(request)
             if request.transport is not None:
                 self._transports.add(request.transport)
             intended = request.headers.get("X-Expected-Instance", self.id)
@@ -141,6 +167,9 @@
                 body = await request.json()
             except (ConnectionError, ValueError):
                 return web.Response(status=400)
+            if self.is_dark:
+                await self.world.sleep(60.0)
+                return self._reset(request)
             if not self.is_up:
                 return self._reset(request)
             if intended != self.id:
@@ -151,6 +180,9 @@
                 return self._reset(request)
             born_ms = self.born_ms
             response = await self._checked(handle, body)
+            if self.is_dark or request.transport in self._former:
+                await self.world.sleep(60.0)
+                return self._reset(request)
             return response if self.is_up and self.born_ms == born_ms else self._reset(request)
 
         return guarded
--- a/review/world-2/world.py
+++ b/review/world-2/world.py
@@ -45,6 +45,7 @@
         self.is_guarded = True
         self.kinds = ["a"]
         self.cpu_by_job = {}
+        self.on_start = lambda runner, run: None
         self.breaches = []
         self.running = {}
         self.starts = []
@@ -103,6 +104,7 @@
             )
             self.note(f"BROKEN {self.breaches[-1]}")
         others[runner.name, run.number] = self.now()
+        self.on_start(runner, run)
 
     def note_end(self, runner, run, how, _ended_ms):
         """Record an end."""
@@ -313,7 +315,7 @@
                 (pathlib.Path(target) / log.name).write_bytes(log.read_bytes())
 
 
-def main(folder, play, *, fronts, sides, limit_s=110.0, guarded=True):
+def main(folder, play, *, fronts, sides, limit_s=110.0, guarded=True, kinds=("a",)):
     """Play a case and exit: 1 if its rule was broken, 0 if it held, 2 if it couldn't run."""
     # So that the processes are ended.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
@@ -322,7 +324,7 @@
 
     async def execute(record):
         world = World(record, seed, fronts, sides, trouble=trouble)
-        world.is_guarded = guarded
+        world.is_guarded, world.kinds = guarded, kinds
         async with asyncio.timeout(limit_s):
             async with world.run():
                 world.note(f"play begins, seed {seed}, trouble {int(trouble)}")
